--- /dev/null
+++ b/src/zinnia/config/fleet_state.cpp
@@ -0,0 +1,33 @@
+#include "zinnia/config/fleet_state.hpp"
+
+#include <algorithm>
+
+namespace zinnia::config {
+
+FleetOutcome FleetState::apply(const FleetCommand& command)
+{
+    return std::visit([this](const auto& alternative) { return this->run(alternative); }, command);
+}
+
+FleetOutcome FleetState::run(const InstallRoutes& command)
+{
+    if (command.table.version <= this->current.table.version)
+        return FleetOutcome::Superseded;
+    this->current = command;
+    return FleetOutcome::Changed;
+}
+
+FleetOutcome FleetState::run(const SetZoneWithdrawn& command)
+{
+    const auto place = std::lower_bound(this->withdrawn.begin(), this->withdrawn.end(), command.zone);
+    const bool isWithdrawn = place != this->withdrawn.end() && *place == command.zone;
+    if (isWithdrawn == command.withdrawn)
+        return FleetOutcome::Unchanged;
+    if (command.withdrawn)
+        this->withdrawn.insert(place, command.zone);
+    else
+        this->withdrawn.erase(place);
+    return FleetOutcome::Changed;
+}
+
+} // namespace zinnia::config
--- /dev/null
+++ b/src/zinnia/config/route_table.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "zinnia/core/endpoint.hpp"
+#include "zinnia/core/ids.hpp"
+#include "zinnia/core/name_table.hpp"
+#include "zinnia/core/result.hpp"
+#include "zinnia/core/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace zinnia::config {
+
+/** @brief What may be repeated of the requests that a route carries. */
+enum class RequestClass : std::uint8_t { Idempotent, NonIdempotent, Download };
+
+inline constexpr NameTable<RequestClass, 3> requestClassNames { {
+    { RequestClass::Idempotent, "idempotent" },
+    { RequestClass::NonIdempotent, "non_idempotent" },
+    { RequestClass::Download, "download" },
+} };
+static_assert(isDense(requestClassNames));
+
+/** @brief A service of a route and its relative share of the new flows. */
+struct ServiceShare {
+    std::string service;
+    std::uint32_t weight = 1;
+
+    template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
+    {
+        visit(self.service, self.weight);
+    }
+    [[nodiscard]] friend bool operator==(const ServiceShare&, const ServiceShare&) = default;
+};
+
+/** @brief Sends the flows to one address to one or more services. */
+struct Route {
+    std::string name;
+    /** Address and port that callers send to. */
+    Endpoint address;
+    RequestClass requestClass {};
+    /** Time after which a caller's request has failed. */
+    Milliseconds timeout {};
+    /** 0 is most important. */
+    std::uint32_t priority {};
+    std::vector<ServiceShare> shares;
+
+    template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
+    {
+        visit(self.name, self.address, self.requestClass, self.timeout, self.priority, self.shares);
+    }
+    [[nodiscard]] friend bool operator==(const Route&, const Route&) = default;
+};
+
+/** @brief Limits of the upstreams of one service. */
+struct RoutedService {
+    std::string name;
+    /** Flows that one upstream holds at a time. */
+    std::uint32_t flowLimit {};
+    /** Time after its start in which an upstream is cold. */
+    Milliseconds coldStart {};
+    /** Requests a second that a cold upstream can handle. */
+    double coldRate {};
+
+    template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
+    {
+        visit(self.name, self.flowLimit, self.coldStart, self.coldRate);
+    }
+    [[nodiscard]] friend bool operator==(const RoutedService&, const RoutedService&) = default;
+};
+
+/** @brief A complete set of routes; replaced as a whole by a higher version. */
+struct RouteTable {
+    ConfigVersion version;
+    std::vector<Route> routes;
+    std::vector<RoutedService> services;
+    /** A flow without packets for this long may be forgotten. */
+    Milliseconds flowIdle {};
+
+    template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
+    {
+        visit(self.version, self.routes, self.services, self.flowIdle);
+    }
+    [[nodiscard]] friend bool operator==(const RouteTable&, const RouteTable&) = default;
+};
+
+/** @brief Why a route table is not valid. */
+enum class RouteFaultCause : std::uint8_t {
+    NoVersion,
+    UnknownService,
+    DuplicateService,
+    DuplicateAddress,
+    NoTimeout,
+    NoService,
+    NoWeight,
+};
+
+inline constexpr NameTable<RouteFaultCause, 7> routeFaultCauseNames { {
+    { RouteFaultCause::NoVersion, "no_version" },
+    { RouteFaultCause::UnknownService, "unknown_service" },
+    { RouteFaultCause::DuplicateService, "duplicate_service" },
+    { RouteFaultCause::DuplicateAddress, "duplicate_address" },
+    { RouteFaultCause::NoTimeout, "no_timeout" },
+    { RouteFaultCause::NoService, "no_service" },
+    { RouteFaultCause::NoWeight, "no_weight" },
+} };
+static_assert(isDense(routeFaultCauseNames));
+
+[[nodiscard]] constexpr std::string_view nameOf(RouteFaultCause cause) noexcept
+{
+    return nameIn(routeFaultCauseNames, cause);
+}
+
+/** @brief The first fault of a route table and the route or service that has it. */
+struct RouteFault {
+    RouteFaultCause cause {};
+    std::string subject;
+};
+
+/** @return Nothing if the table is valid; otherwise its first fault. */
+[[nodiscard]] Result<void, RouteFault> validate(const RouteTable& table);
+
+} // namespace zinnia::config
--- a/src/zinnia/consensus/admission.cpp
+++ b/src/zinnia/consensus/admission.cpp
@@ -58,7 +58,7 @@
     if (this->role != Role::Leader || this->log.latest().membership.contains(from))
         return;
     const auto& known = this->settings.instances;
-    if (std::find(known.begin(), known.end(), from.instance) == known.end())
+    if (!this->isDynamic() && std::find(known.begin(), known.end(), from.instance) == known.end())
         return this->report(zinnia::Event::LearnerRefused, from);
     // An instance has one folder: a newer identity takes the place of an older learner.
     std::erase_if(this->progress, [&](const auto& item) {
@@ -81,24 +81,43 @@
     if (!this->isCommitted(this->log.latest()) || this->commit < this->firstOfTerm)
         return;
     for (const auto& [id, learner] : this->progress) {
-        const Membership& current = this->log.latest().membership;
-        if (current.contains(id) || learner.match < this->commit)
+        if (this->log.latest().membership.contains(id) || learner.match < this->commit)
             continue;
-        const auto old = current.voterOf(id.instance);
-        const auto contact = old ? this->progress.find(*old) : this->progress.end();
-        const bool isActive = old
-            && (*old == this->hard.self
-                || (contact != this->progress.end()
-                    && this->now - contact->second.contact < this->settings.quorumTimeout));
-        if (isActive) {
+        if (auto next = this->membershipWith(id, learner))
+            return this->appendOwn(std::move(*next));
+    }
+}
+
+bool Replica::isSilent(const ReplicaId& voter, Milliseconds limit) const
+{
+    if (voter == this->hard.self)
+        return false;
+    const auto contact = this->progress.find(voter);
+    return contact == this->progress.end() || this->now - contact->second.contact >= limit;
+}
+
+std::optional<Membership> Replica::membershipWith(const ReplicaId& id, const Progress& learner)
+{
+    Membership next = this->log.latest().membership;
+    if (const auto old = next.voterOf(id.instance)) {
+        if (!this->isSilent(*old, this->settings.quorumTimeout)) {
             this->report(zinnia::Event::LearnerRefused, id);
-            continue;
+            return std::nullopt;
+        }
+        std::erase(next.voters, *old);
+    } else if (this->isDynamic()) {
+        if (this->now - learner.contact >= this->settings.quorumTimeout)
+            return std::nullopt;
+        if (next.voters.size() >= this->settings.targetVoters) {
+            const auto silent = std::find_if(next.voters.begin(), next.voters.end(),
+                [this](const ReplicaId& voter) { return this->isSilent(voter, this->settings.replaceAfter); });
+            if (silent == next.voters.end())
+                return std::nullopt;
+            next.voters.erase(silent);
         }
-        Membership next = current;
-        std::erase_if(next.voters, [instance = id.instance](const auto& voter) { return voter.instance == instance; });
-        next.voters.push_back(id);
-        return this->appendOwn(std::move(next));
     }
+    next.voters.push_back(id);
+    return next;
 }
 
 } // namespace zinnia::consensus
--- a/src/zinnia/consensus/election.cpp
+++ b/src/zinnia/consensus/election.cpp
@@ -228,6 +228,11 @@
 void Replica::retire(const ReplicaId& by, LogIndex membershipIndex)
 {
     this->stepDown(zinnia::Event::LeaderSteppedDown);
+    // In a changing group the instance stays as a learner; only another identity in its place ends its part.
+    if (this->isDynamic() && by == this->hard.self) {
+        this->report(zinnia::Event::ReplicaReplaced, by, membershipIndex);
+        return;
+    }
     this->role = Role::Replaced;
     this->held.clear();
     this->gated.clear();
--- a/src/zinnia/consensus/event.hpp
+++ b/src/zinnia/consensus/event.hpp
@@ -50,10 +50,15 @@
     Bytes data;
 };
 
+/** @brief The control instances that are known now; for groups that change. */
+struct InstancesKnown {
+    std::vector<InstanceId> instances;
+};
+
 /** @brief Refuses proposals from now on, as the process is about to stop. */
 struct Stop { };
 
-using Event = std::variant<Tick, Receive, Propose, Read, Persisted, PersistFailed, SnapshotTaken, Stop>;
+using Event = std::variant<Tick, Receive, Propose, Read, Persisted, PersistFailed, SnapshotTaken, InstancesKnown, Stop>;
 
 /** @brief Why a proposal or read was refused; it has not been and will not be run. */
 enum class RefusalCause : unsigned char { NotReady, StorageFailed, Stopping, Overloaded, TooLarge };
--- a/src/zinnia/consensus/replica.cpp
+++ b/src/zinnia/consensus/replica.cpp
@@ -1,14 +1,23 @@
 #include "zinnia/consensus/replica.hpp"
 
 #include "zinnia/consensus/quorum.hpp"
+#include "zinnia/core/hash.hpp"
 
 namespace zinnia::consensus {
 
 namespace {
 
+    /** Founders have the same incarnation everywhere, so that each of them knows the identities of the others. */
+    constexpr std::uint64_t founderIncarnation = 1;
+
+    /** Election times without a leader after which a voter of a changing group says hello like a learner. */
+    constexpr int leftOutElections = 2;
+
     bool isValid(const Settings& settings)
     {
         const auto& all = settings.instances;
+        if (settings.targetVoters > 0 && settings.bootstrap && settings.founders.empty())
+            return false;
         return std::find(all.begin(), all.end(), settings.self) != all.end()
             && settings.heartbeatInterval < settings.shortestElection
             && settings.shortestElection < settings.longestElection
@@ -58,7 +67,7 @@
             this->hardDirty = true;
         }
     } else {
-        const std::uint64_t incarnation = this->random();
+        const std::uint64_t incarnation = this->isFounder() ? founderIncarnation : this->random();
         this->hard.self = ReplicaId { this->settings.self, incarnation == 0 ? 1 : incarnation };
         this->hardDirty = true;
         this->report(zinnia::Event::ReplicaCreated, this->hard.self);
@@ -71,20 +80,43 @@
         this->actions.emplace_back(Restore { this->applied, this->log.snapshot().data });
     // A higher term means that the folder has taken part in a log before.
     if (this->settings.bootstrap && this->log.lastIndex() == 0 && this->hard.term <= 1) {
-        this->hard.log = LogId { this->random() | 1U };
-        this->hard.term = 1;
-        this->hard.vote = this->hard.self;
-        this->hard.commit = 1;
-        this->hardDirty = true;
-        this->commit = 1;
-        const Entry first { 1, 1, Membership { { this->hard.self } } };
-        this->log.append(first);
-        this->newEntries.push_back(first);
-        this->report(zinnia::Event::ClusterBootstrapped, this->hard.self);
+        if (this->isFounder() && this->hard.self.incarnation == founderIncarnation) {
+            Membership founders;
+            std::uint64_t id = 0;
+            for (const auto& founder : this->settings.founders) {
+                founders.voters.push_back(ReplicaId { founder, founderIncarnation });
+                id = hashOf(id, founder.value);
+            }
+            this->hard.log = LogId { id | 1U };
+            this->found(std::move(founders));
+        } else if (!this->isDynamic()) {
+            this->hard.log = LogId { this->random() | 1U };
+            this->found(Membership { { this->hard.self } });
+        }
     }
     this->resetElection();
 }
 
+bool Replica::isFounder() const
+{
+    const auto& founders = this->settings.founders;
+    return this->settings.bootstrap && this->isDynamic()
+        && std::find(founders.begin(), founders.end(), this->settings.self) != founders.end();
+}
+
+void Replica::found(Membership voters)
+{
+    this->hard.term = 1;
+    this->hard.vote = this->hard.self;
+    this->hard.commit = 1;
+    this->hardDirty = true;
+    this->commit = 1;
+    const Entry first { 1, 1, std::move(voters) };
+    this->log.append(first);
+    this->newEntries.push_back(first);
+    this->report(zinnia::Event::ClusterBootstrapped, this->hard.self);
+}
+
 Actions Replica::handle(const Event& event, TimePoint time)
 {
     this->now = time;
@@ -107,9 +139,11 @@
         }
         return;
     }
-    if (!this->mayVote())
+    // A voter that was replaced while it was away learns it from the records that a learner is sent.
+    const bool isLeftOut = this->isDynamic() && this->now - this->lastLeaderContact > leftOutElections * Microseconds { this->settings.longestElection };
+    if (!this->mayVote() || isLeftOut)
         this->sayHello();
-    else if (this->now >= this->electionDue)
+    if (this->mayVote() && this->now >= this->electionDue)
         this->campaign();
 }
 
@@ -149,7 +183,7 @@
     if (this->role != Role::Leader)
         return refuse(NotLeader { this->leader ? std::optional { this->leader->instance } : std::nullopt });
     // With fewer voters than a majority of the instances, the loss of one disk could lose the command.
-    if (this->log.latest().membership.voters.size() < this->settings.instances.size() / 2 + 1)
+    if (!this->isDynamic() && this->log.latest().membership.voters.size() < this->settings.instances.size() / 2 + 1)
         return refuse(Refused { RefusalCause::NotReady });
     this->appendOwn(Command { event.command });
     this->pending.emplace(this->log.lastIndex(), event.id);
@@ -229,6 +263,12 @@
     this->report(zinnia::Event::SnapshotSaved, this->hard.self, event.index);
 }
 
+void Replica::on(const InstancesKnown& event)
+{
+    if (this->isDynamic())
+        this->settings.instances = event.instances;
+}
+
 void Replica::on(const Stop&) { this->stopping = true; }
 
 Header Replica::headerTo(const ReplicaId& to) const
--- a/src/zinnia/consensus/replica.hpp
+++ b/src/zinnia/consensus/replica.hpp
@@ -85,7 +85,10 @@
     void on(const Persisted& event);
     void on(const PersistFailed& event);
     void on(const SnapshotTaken& event);
+    void on(const InstancesKnown& event);
     void on(const Stop& event);
+    /** @brief Starts the log with its first record, which sets the voters. */
+    void found(Membership voters);
 
     // Election
     void on(const PreVote& message);
@@ -129,6 +132,11 @@
     void sayHello();
     void admitLearners();
     void syncProgress();
+    [[nodiscard]] bool isFounder() const;
+    [[nodiscard]] bool isDynamic() const noexcept { return this->settings.targetVoters > 0; }
+    [[nodiscard]] bool isSilent(const ReplicaId& voter, Milliseconds limit) const;
+    /** @return The membership with the learner as a voter, or nothing if it is not needed or not allowed. */
+    [[nodiscard]] std::optional<Membership> membershipWith(const ReplicaId& id, const Progress& learner);
     [[nodiscard]] std::vector<ReplicaId> peers() const;
 
     // Shared
--- a/src/zinnia/consensus/settings.hpp
+++ b/src/zinnia/consensus/settings.hpp
@@ -19,9 +19,24 @@
 
 struct Settings {
     InstanceId self;
-    /** The control instances; only these may become voters. */
+    /** The control instances known; with a fixed group only these may become voters. */
     std::vector<InstanceId> instances;
-    /** First start of a cluster: with an empty folder, become the only voter. Set on one instance only. */
+    /**
+     * Voters of a group that takes in instances as they appear and replaces voters that stay silent. 0 means a fixed
+     * group: one voter for each of `instances`.
+     */
+    std::size_t targetVoters {};
+    /**
+     * The first voters of such a group. Each of them starts from the same first record, so that none has to be
+     * the first to run.
+     */
+    std::vector<InstanceId> founders;
+    /** A voter that has been silent for this long may be replaced by another instance. */
+    Milliseconds replaceAfter { 5000 };
+    /**
+     * First start of a cluster: with an empty folder, become the only voter, or one of the founders. Without founders
+     * it is set on one instance only.
+     */
     bool bootstrap {};
     /** Seed of election timeouts and of a new identity; has to differ between starts with an empty folder. */
     std::uint64_t seed {};
--- /dev/null
+++ b/src/zinnia/feed/feed_client.cpp
@@ -0,0 +1,94 @@
+#include "zinnia/feed/feed_client.hpp"
+
+#include <algorithm>
+
+namespace zinnia::feed {
+
+namespace {
+
+    /** A control instance that is no seed and has been silent for this long is forgotten. */
+    constexpr Seconds memory { 60 };
+
+} // namespace
+
+void FeedClient::setSeeds(std::vector<InstanceId> seeds)
+{
+    for (auto& [id, control] : this->controls)
+        control.seed = false;
+    for (const auto& id : seeds)
+        this->controls[id].seed = true;
+}
+
+std::vector<InstanceId> FeedClient::chosen(TimePoint now) const
+{
+    std::vector<InstanceId> result;
+    for (const auto& [id, control] : this->controls) {
+        if (result.size() < this->settings.sources && this->answers(control, now))
+            result.push_back(id);
+    }
+    return result;
+}
+
+std::vector<OutgoingRequest> FeedClient::tick(std::uint64_t revision, TimePoint now)
+{
+    this->forgetOld(now);
+    std::vector<OutgoingRequest> requests;
+    const auto sources = this->chosen(now);
+    if (!sources.empty()) {
+        auto next = std::find_if(sources.begin(), sources.end(),
+            [this](const InstanceId& id) { return !this->lastAsked || id > *this->lastAsked; });
+        if (next == sources.end())
+            next = sources.begin();
+        this->lastAsked = *next;
+        requests.push_back(this->ask(*next, this->controls[*next], revision, now));
+    }
+    // Until enough control instances answer, the others are tried at a lower rate.
+    if (sources.size() < this->settings.sources) {
+        for (auto& [id, control] : this->controls) {
+            if (!this->answers(control, now) && now - control.askedAt >= this->settings.retry)
+                requests.push_back(this->ask(id, control, revision, now));
+        }
+    }
+    return requests;
+}
+
+OutgoingRequest FeedClient::ask(InstanceId id, Control& control, std::uint64_t revision, TimePoint now)
+{
+    control.askedAt = now;
+    return OutgoingRequest { id, FeedRequest { this->nextNumber++, revision, control.board, control.change } };
+}
+
+std::optional<OutgoingRequest> FeedClient::receive(
+    InstanceId id, const FeedReply& reply, std::uint64_t revision, TimePoint now)
+{
+    const auto found = this->controls.find(id);
+    if (found == this->controls.end())
+        return std::nullopt;
+    Control& control = found->second;
+    control.answeredAt = now;
+    control.board = reply.board;
+    control.change = reply.change;
+    for (const auto& other : reply.controls) {
+        const auto [entry, isNew] = this->controls.try_emplace(other);
+        if (isNew)
+            entry->second.learnedAt = now;
+    }
+    const bool isWhole = reply.change >= reply.lastChange && reply.revision <= revision;
+    if (reply.confirmed && isWhole) {
+        this->complete = this->complete || revision > 0;
+        this->lastConfirmed = now;
+    }
+    if (reply.change < reply.lastChange)
+        return this->ask(id, control, revision, now);
+    return std::nullopt;
+}
+
+void FeedClient::forgetOld(TimePoint now)
+{
+    std::erase_if(this->controls, [&](const auto& item) {
+        const Control& control = item.second;
+        return !control.seed && now - std::max(control.answeredAt, control.learnedAt) > memory;
+    });
+}
+
+} // namespace zinnia::feed
--- /dev/null
+++ b/src/zinnia/routing/flow_router.cpp
@@ -0,0 +1,334 @@
+#include "zinnia/routing/flow_router.hpp"
+
+#include "zinnia/core/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace zinnia::routing {
+
+using upstream::AnnouncedState;
+
+namespace {
+
+    /** A flow that its caller has finished is remembered this long, for repeated last packets. */
+    constexpr Seconds finishedMemory { 2 };
+    /** An opening without a further packet; callers give an opening up after 1.4 s. */
+    constexpr Seconds openingMemory { 3 };
+
+    /** @return Whether `left` comes after `right` in sequence numbers, which wrap around. */
+    [[nodiscard]] bool isAfter(std::uint32_t left, std::uint32_t right) noexcept
+    {
+        return static_cast<std::int32_t>(left - right) > 0;
+    }
+
+    void decrement(std::uint32_t& count) noexcept
+    {
+        if (count > 0)
+            --count;
+    }
+
+} // namespace
+
+std::size_t FlowRouter::FlowIdHash::operator()(const FlowId& id) const noexcept
+{
+    return hashOf(0, id.caller.address, id.caller.port, id.service.address, id.service.port);
+}
+
+FlowRouter::FlowRouter(const FlowRouterSettings& settings)
+    : settings { settings }
+    , random { settings.seed }
+{
+}
+
+bool FlowRouter::adopt(const feed::RoutingState& state, TimePoint now)
+{
+    if (state.revision <= this->current.revision)
+        return false;
+    for (const auto& zone : this->current.withdrawnZones) {
+        const auto& still = state.withdrawnZones;
+        if (std::find(still.begin(), still.end(), zone) == still.end())
+            this->returned.push_back({ zone, now + this->settings.returnDelay });
+    }
+    this->current = state;
+    this->withdrawn = { state.withdrawnZones.begin(), state.withdrawnZones.end() };
+    this->routeOf.clear();
+    for (std::size_t i = 0; i < state.routes.size(); ++i)
+        this->routeOf.emplace(state.routes[i].address, i);
+    return true;
+}
+
+bool FlowRouter::merge(const std::vector<upstream::AgedAnnouncement>& announcements, TimePoint now)
+{
+    return this->upstreams.merge(announcements, now);
+}
+
+RoutingDecision FlowRouter::route(const FlowPacket& packet, TimePoint now)
+{
+    return packet.opens ? this->open(packet, now) : this->forward(packet, now);
+}
+
+RoutingDecision FlowRouter::open(const FlowPacket& packet, TimePoint now)
+{
+    const auto found = this->routeOf.find(packet.service);
+    if (found == this->routeOf.end())
+        return { PacketAction::Reset, RoutingReason::NoRoute, nullptr };
+    const FlowId id { packet.caller, packet.service };
+    const auto known = this->flows.find(id);
+    Flow* previous = nullptr;
+    if (known != this->flows.end()) {
+        if (known->second.sequence == packet.sequence && !known->second.established)
+            previous = &known->second;
+        else
+            this->end(known->second);
+    }
+    if (previous != nullptr) {
+        // The first copy was not answered, which callers wait 200 ms for.
+        if (Upstream* first = this->upstreams.find(previous->token); first != nullptr) {
+            if (first->answeredAt < previous->sentAt) {
+                const auto factor = std::min<std::uint32_t>(++first->unansweredOpenings, 4);
+                first->avoidUntil
+                    = now + std::min(this->settings.avoidance * factor, this->settings.longestAvoidance);
+            }
+        }
+    }
+    Upstream* chosen = this->choose(this->current.routes[found->second], previous, now);
+    if (chosen == nullptr) {
+        if (known != this->flows.end()) {
+            this->end(known->second);
+            this->flows.erase(known);
+        }
+        return { PacketAction::Reset, RoutingReason::NoUpstream, nullptr };
+    }
+    const bool moved = previous != nullptr && previous->token != chosen->token;
+    Flow flow;
+    if (previous != nullptr) {
+        flow.tried = { previous->token, previous->tried[0] };
+        this->end(*previous);
+    }
+    flow.token = chosen->token;
+    flow.sequence = packet.sequence;
+    flow.sentAt = now;
+    flow.seenAt = now;
+    if (known != this->flows.end())
+        known->second = flow;
+    else if (this->flows.size() < this->settings.flowLimit)
+        this->flows.emplace(id, flow);
+    ++chosen->flows;
+    return { PacketAction::Forward, moved ? RoutingReason::CopyMoved : RoutingReason::None, chosen };
+}
+
+RoutingDecision FlowRouter::forward(const FlowPacket& packet, TimePoint now)
+{
+    const FlowId id { packet.caller, packet.service };
+    auto known = this->flows.find(id);
+    const RoutingToken token
+        = packet.token == RoutingToken {} && known != this->flows.end() ? known->second.token : packet.token;
+    Upstream* upstream = this->upstreams.find(token);
+    // The flow may be open at an upstream that this router has not heard of, so it is not reset.
+    if (upstream == nullptr)
+        return { PacketAction::Drop, RoutingReason::UnknownToken, nullptr };
+    if (known != this->flows.end() && known->second.token == RoutingToken {}) {
+        known->second.seenAt = now;
+        return { PacketAction::Forward, RoutingReason::None, upstream };
+    }
+    if (known != this->flows.end() && known->second.token != token) {
+        // Two copies of the opening were answered, and the caller has chosen.
+        this->end(known->second);
+        this->flows.erase(known);
+        known = this->flows.end();
+    }
+    if (known == this->flows.end() && !packet.aborts && this->flows.size() < this->settings.flowLimit) {
+        Flow flow;
+        flow.token = token;
+        flow.sequence = packet.sequence;
+        flow.acknowledged = packet.acknowledged;
+        flow.established = true;
+        flow.sentAt = now;
+        flow.seenAt = now;
+        known = this->flows.emplace(id, flow).first;
+        ++upstream->flows;
+    }
+    if (upstream->announced.state == AnnouncedState::Gone && !packet.aborts)
+        return { PacketAction::Reset, RoutingReason::UpstreamGone, upstream };
+    if (known == this->flows.end())
+        return { PacketAction::Forward, RoutingReason::None, upstream };
+    this->observe(known->second, *upstream, packet, now);
+    if (this->isDead(known->second, *upstream, packet)) {
+        this->end(known->second);
+        this->flows.erase(known);
+        return { PacketAction::Reset, RoutingReason::UpstreamDead, upstream };
+    }
+    return { PacketAction::Forward, RoutingReason::None, upstream };
+}
+
+void FlowRouter::observe(Flow& flow, Upstream& upstream, const FlowPacket& packet, TimePoint now)
+{
+    flow.seenAt = now;
+    if (!flow.established) {
+        // The end of the handshake shows that the upstream has answered the opening.
+        flow.established = true;
+        flow.acknowledged = packet.acknowledged;
+        this->answered(flow, upstream, now);
+    } else if (isAfter(packet.acknowledged, flow.acknowledged)) {
+        flow.acknowledged = packet.acknowledged;
+        this->answered(flow, upstream, now);
+    }
+    if (packet.aborts || packet.finishes) {
+        this->end(flow);
+        return;
+    }
+    if (packet.dataBytes == 0)
+        return;
+    if (isAfter(packet.sequence, flow.sequence) || !flow.waiting) {
+        flow.sequence = packet.sequence;
+        flow.sentAt = now;
+        flow.repeats = 0;
+        if (!std::exchange(flow.waiting, true))
+            ++upstream.requests;
+    } else if (packet.sequence == flow.sequence) {
+        ++flow.repeats;
+        if (upstream.answeredAt < flow.sentAt && !std::exchange(flow.stalled, true))
+            ++upstream.stalledFlows;
+    }
+}
+
+void FlowRouter::answered(Flow& flow, Upstream& upstream, TimePoint now)
+{
+    upstream.answeredAt = now;
+    upstream.unansweredOpenings = 0;
+    upstream.avoidUntil = TimePoint {};
+    flow.repeats = 0;
+    if (std::exchange(flow.waiting, false))
+        decrement(upstream.requests);
+    if (upstream.stalledFlows > 0) {
+        upstream.stalledFlows = 0;
+        for (auto& [id, other] : this->flows) {
+            if (other.token == upstream.token)
+                other.stalled = false;
+        }
+    }
+}
+
+void FlowRouter::end(Flow& flow)
+{
+    if (flow.token == RoutingToken {})
+        return;
+    if (Upstream* upstream = this->upstreams.find(flow.token); upstream != nullptr) {
+        decrement(upstream->flows);
+        if (flow.waiting)
+            decrement(upstream->requests);
+        if (flow.stalled)
+            decrement(upstream->stalledFlows);
+    }
+    flow.token = RoutingToken {};
+    flow.waiting = false;
+    flow.stalled = false;
+}
+
+bool FlowRouter::isDead(const Flow& flow, const Upstream& upstream, const FlowPacket& packet) const
+{
+    if (!flow.stalled || packet.dataBytes == 0)
+        return false;
+    return upstream.stalledFlows >= this->settings.stalledFlows || flow.repeats >= this->settings.repeats;
+}
+
+Upstream* FlowRouter::choose(const feed::CompactRoute& route, const Flow* previous, TimePoint now)
+{
+    std::uint64_t total = 0;
+    for (const auto weight : route.weights)
+        total += weight;
+    if (total == 0)
+        return nullptr;
+    auto point = std::uniform_int_distribution<std::uint64_t> { 0, total - 1 }(this->random);
+    std::size_t first = 0;
+    while (point >= route.weights[first])
+        point -= route.weights[first++];
+    Upstream* chosen = this->chooseOf(this->current.services[route.services[first]].name, previous, now);
+    // A service without upstreams leaves its share to the others of the route.
+    for (std::size_t i = 0; chosen == nullptr && i < route.services.size(); ++i) {
+        if (i != first && route.weights[i] > 0)
+            chosen = this->chooseOf(this->current.services[route.services[i]].name, previous, now);
+    }
+    return chosen;
+}
+
+Upstream* FlowRouter::chooseOf(const std::string& service, const Flow* previous, TimePoint now)
+{
+    Candidates own;
+    Candidates others;
+    Candidates avoided;
+    for (Upstream* upstream : this->upstreams.ofService(service)) {
+        if (!this->isUsable(*upstream, now))
+            continue;
+        const bool isTried = previous != nullptr
+            && (previous->token == upstream->token || previous->tried[0] == upstream->token);
+        if (isTried || upstream->avoidUntil > now || upstream->announced.state == AnnouncedState::Silent)
+            avoided.push_back(upstream);
+        else if (upstream->announced.zone == this->settings.zone)
+            own.push_back(upstream);
+        else
+            others.push_back(upstream);
+    }
+    if (!own.empty())
+        return this->leastLoaded(own);
+    if (!others.empty())
+        return this->leastLoaded(others);
+    return this->leastLoaded(avoided);
+}
+
+Upstream* FlowRouter::leastLoaded(const Candidates& candidates)
+{
+    Upstream* best = nullptr;
+    std::uint32_t ties = 0;
+    const auto loadOf = [](const Upstream& upstream) { return upstream.flows + upstream.requests; };
+    for (Upstream* candidate : candidates) {
+        if (best == nullptr || loadOf(*candidate) < loadOf(*best)) {
+            best = candidate;
+            ties = 1;
+        } else if (loadOf(*candidate) == loadOf(*best)) {
+            // Each of the equal ones is kept with the same probability.
+            ++ties;
+            if (std::uniform_int_distribution<std::uint32_t> { 1, ties }(this->random) == 1)
+                best = candidate;
+        }
+    }
+    return best;
+}
+
+bool FlowRouter::isUsable(const Upstream& upstream, TimePoint now) const
+{
+    const auto state = upstream.announced.state;
+    if (state == AnnouncedState::Gone || state == AnnouncedState::Draining || upstream.coldUntil > now)
+        return false;
+    return !this->isOutOfService(upstream.announced.zone, now);
+}
+
+bool FlowRouter::isOutOfService(const std::string& zone, TimePoint now) const
+{
+    if (this->withdrawn.contains(zone))
+        return true;
+    return std::any_of(this->returned.begin(), this->returned.end(),
+        [&](const ReturnedZone& item) { return item.zone == zone && item.usableAt > now; });
+}
+
+void FlowRouter::expire(TimePoint now)
+{
+    std::erase_if(this->returned, [now](const ReturnedZone& item) { return item.usableAt <= now; });
+    for (auto flow = this->flows.begin(); flow != this->flows.end();) {
+        Microseconds limit = this->current.flowIdle;
+        if (!flow->second.established)
+            limit = openingMemory;
+        else if (flow->second.token == RoutingToken {})
+            limit = finishedMemory;
+        if (now - flow->second.seenAt <= limit) {
+            ++flow;
+            continue;
+        }
+        this->end(flow->second);
+        flow = this->flows.erase(flow);
+    }
+    this->upstreams.forgetOld(now);
+}
+
+} // namespace zinnia::routing
--- /dev/null
+++ b/src/zinnia/routing/flow_router.hpp
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "zinnia/core/name_table.hpp"
+#include "zinnia/core/reasons.hpp"
+#include "zinnia/feed/messages.hpp"
+#include "zinnia/routing/flow_packet.hpp"
+#include "zinnia/routing/upstream_directory.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace zinnia::routing {
+
+/** @brief Limits and times of a router. */
+struct FlowRouterSettings {
+    /** Zone of this router; its upstreams come first. */
+    std::string zone;
+    std::uint64_t seed = 1;
+    /** Flows that are remembered; a flow beyond is routed by its token alone. */
+    std::size_t flowLimit = 20000;
+    /** No new flow to an upstream that did not answer, before it is tried again. */
+    Milliseconds avoidance { 1000 };
+    /** Longest time between two such tries. */
+    Milliseconds longestAvoidance { 4000 };
+    /**
+     * Flows of one upstream that repeat packets without any answer of the upstream since, from which on it counts as
+     * dead. One alone may have lost a packet.
+     */
+    std::uint32_t stalledFlows = 2;
+    /** Repeated packets of a single flow with the same meaning. */
+    std::uint32_t repeats = 3;
+    /** A zone that was put back takes new flows after this time, when announcements tell whether it is cold. */
+    Milliseconds returnDelay { 2000 };
+};
+
+/** @brief What to do with a packet. */
+enum class PacketAction : std::uint8_t { Forward, Reset, Drop };
+
+inline constexpr NameTable<PacketAction, 3> packetActionNames { {
+    { PacketAction::Forward, "forward" },
+    { PacketAction::Reset, "reset" },
+    { PacketAction::Drop, "drop" },
+} };
+static_assert(isDense(packetActionNames));
+
+[[nodiscard]] constexpr std::string_view nameOf(PacketAction action) noexcept
+{
+    return nameIn(packetActionNames, action);
+}
+
+/** @brief Why a packet is reset or dropped, or an opening went to another upstream than its first copy. */
+enum class RoutingReason : std::uint8_t {
+    None,
+    NoRoute,
+    NoUpstream,
+    UnknownToken,
+    UpstreamGone,
+    UpstreamDead,
+    CopyMoved,
+};
+
+inline constexpr NameTable<RoutingReason, 7> routingReasonNames { {
+    { RoutingReason::None, "none" },
+    { RoutingReason::NoRoute, "no_route" },
+    { RoutingReason::NoUpstream, "no_upstream" },
+    { RoutingReason::UnknownToken, "unknown_token" },
+    { RoutingReason::UpstreamGone, "upstream_gone" },
+    { RoutingReason::UpstreamDead, "upstream_dead" },
+    { RoutingReason::CopyMoved, "copy_moved" },
+} };
+static_assert(isDense(routingReasonNames));
+
+[[nodiscard]] constexpr std::string_view nameOf(RoutingReason reason) noexcept
+{
+    return nameIn(routingReasonNames, reason);
+}
+
+/** @brief Result for one packet. */
+struct RoutingDecision {
+    PacketAction action {};
+    RoutingReason reason {};
+    /** Given for `Forward`, and for others if the upstream is known; valid until the next call. */
+    const Upstream* upstream {};
+};
+
+/**
+ * @brief Decides where the packets of flows go.
+ *
+ * A new flow gets an upstream, whose token both ends return from then on. Other packets go to the upstream that
+ * their token names. The flows seen are remembered only to judge load and silence of the upstreams: a router that
+ * has just started sends packets of open flows on in the same way.
+ */
+class FlowRouter {
+public:
+    explicit FlowRouter(const FlowRouterSettings& settings);
+
+    /** @brief Adopts routes and withdrawn zones if they are newer. @return Whether they were. */
+    bool adopt(const feed::RoutingState& state, TimePoint now);
+    bool merge(const std::vector<upstream::AgedAnnouncement>& announcements, TimePoint now);
+    [[nodiscard]] RoutingDecision route(const FlowPacket& packet, TimePoint now);
+    /** @brief Forgets ended flows and upstreams; to be called about once a second. */
+    void expire(TimePoint now);
+
+    [[nodiscard]] const feed::RoutingState& state() const noexcept { return this->current; }
+    [[nodiscard]] const UpstreamDirectory& directory() const noexcept { return this->upstreams; }
+    [[nodiscard]] std::size_t flowCount() const noexcept { return this->flows.size(); }
+
+private:
+    struct FlowId {
+        Endpoint caller;
+        Endpoint service;
+        [[nodiscard]] friend bool operator==(const FlowId&, const FlowId&) = default;
+    };
+
+    struct FlowIdHash {
+        [[nodiscard]] std::size_t operator()(const FlowId& id) const noexcept;
+    };
+
+    struct Flow {
+        RoutingToken token;
+        /** The upstream to which an earlier copy of the opening went. */
+        std::array<RoutingToken, 2> tried {};
+        std::uint32_t sequence {};
+        std::uint32_t acknowledged {};
+        /** When the packet with `sequence` was first seen. */
+        TimePoint sentAt;
+        TimePoint seenAt;
+        std::uint32_t repeats {};
+        bool established {};
+        /** Its caller waits for an answer. */
+        bool waiting {};
+        bool stalled {};
+    };
+
+    struct ReturnedZone {
+        std::string zone;
+        TimePoint usableAt;
+    };
+
+    using Candidates = std::vector<Upstream*>;
+
+    [[nodiscard]] RoutingDecision open(const FlowPacket& packet, TimePoint now);
+    [[nodiscard]] RoutingDecision forward(const FlowPacket& packet, TimePoint now);
+    void observe(Flow& flow, Upstream& upstream, const FlowPacket& packet, TimePoint now);
+    void answered(Flow& flow, Upstream& upstream, TimePoint now);
+    void end(Flow& flow);
+    [[nodiscard]] bool isDead(const Flow& flow, const Upstream& upstream, const FlowPacket& packet) const;
+    [[nodiscard]] Upstream* choose(const feed::CompactRoute& route, const Flow* previous, TimePoint now);
+    [[nodiscard]] Upstream* chooseOf(const std::string& service, const Flow* previous, TimePoint now);
+    [[nodiscard]] Upstream* leastLoaded(const Candidates& candidates);
+    [[nodiscard]] bool isUsable(const Upstream& upstream, TimePoint now) const;
+    [[nodiscard]] bool isOutOfService(const std::string& zone, TimePoint now) const;
+
+    FlowRouterSettings settings;
+    std::mt19937_64 random;
+    feed::RoutingState current;
+    std::unordered_map<Endpoint, std::size_t> routeOf;
+    std::unordered_set<std::string> withdrawn;
+    std::vector<ReturnedZone> returned;
+    UpstreamDirectory upstreams;
+    std::unordered_map<FlowId, Flow, FlowIdHash> flows;
+};
+
+} // namespace zinnia::routing
--- /dev/null
+++ b/src/zinnia/routing/upstream_directory.cpp
@@ -0,0 +1,84 @@
+#include "zinnia/routing/upstream_directory.hpp"
+
+#include <algorithm>
+
+namespace zinnia::routing {
+
+namespace {
+
+    /** Longer than a flow may last: packets of its flows still name an upstream after its departure. */
+    constexpr Seconds memory { 90 };
+
+} // namespace
+
+RoutingToken tokenOf(upstream::UpstreamNumber number) noexcept
+{
+    // Numbers of up to 32 bits are their own token, so that two upstreams never share one.
+    const auto folded = static_cast<std::uint32_t>(number.value ^ (number.value >> 32U));
+    return RoutingToken { folded == 0 ? 1U : folded };
+}
+
+bool UpstreamDirectory::merge(const std::vector<upstream::AgedAnnouncement>& announcements, TimePoint now)
+{
+    bool changed = false;
+    for (const auto& [announcement, age] : announcements) {
+        const RoutingToken token = tokenOf(announcement.number);
+        const auto [found, isNew] = this->upstreams.try_emplace(token);
+        Upstream& entry = found->second;
+        const auto& known = entry.announced;
+        if (!isNew && announcement.order < known.order)
+            continue;
+        // The conclusion that an upstream is silent has the order of its last announcement.
+        const bool sameOrder = !isNew && announcement.order == known.order;
+        if (sameOrder && announcement.state != upstream::AnnouncedState::Silent)
+            continue;
+        const bool restarted = isNew || announcement.order.startedAt != known.order.startedAt;
+        if (restarted)
+            entry = Upstream {};
+        entry.token = token;
+        entry.announced = announcement;
+        entry.announcedAt = now - age;
+        entry.coldUntil = entry.announcedAt + announcement.coldLeft;
+        changed = true;
+    }
+    if (changed)
+        this->indexAgain();
+    return changed;
+}
+
+void UpstreamDirectory::forgetOld(TimePoint now)
+{
+    const auto isOver = [now](const auto& item) {
+        const auto state = item.second.announced.state;
+        const bool ended = state == upstream::AnnouncedState::Gone || state == upstream::AnnouncedState::Silent;
+        return ended && item.second.flows == 0 && now - item.second.announcedAt > memory;
+    };
+    if (std::erase_if(this->upstreams, isOver) > 0)
+        this->indexAgain();
+}
+
+Upstream* UpstreamDirectory::find(RoutingToken token)
+{
+    const auto found = this->upstreams.find(token);
+    return found == this->upstreams.end() ? nullptr : &found->second;
+}
+
+const std::vector<Upstream*>& UpstreamDirectory::ofService(const std::string& service) const
+{
+    static const std::vector<Upstream*> none;
+    const auto found = this->byService.find(service);
+    return found == this->byService.end() ? none : found->second;
+}
+
+void UpstreamDirectory::indexAgain()
+{
+    this->byService.clear();
+    for (auto& [token, entry] : this->upstreams)
+        this->byService[entry.announced.service].push_back(&entry);
+    for (auto& [service, list] : this->byService) {
+        std::sort(list.begin(), list.end(),
+            [](const Upstream* left, const Upstream* right) { return left->token < right->token; });
+    }
+}
+
+} // namespace zinnia::routing
--- /dev/null
+++ b/src/zinnia/routing/upstream_directory.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "zinnia/feed/messages.hpp"
+#include "zinnia/routing/flow_packet.hpp"
+#include "zinnia/upstream/announcement.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace zinnia::routing {
+
+/** @brief One incarnation of an upstream, as a router knows it. */
+struct Upstream {
+    upstream::Announcement announced;
+    RoutingToken token;
+    /** Until when it takes reduced load. */
+    TimePoint coldUntil;
+    /** When it was last announced, as far as this router was told. */
+    TimePoint announcedAt;
+
+    // What this router has seen itself.
+    /** Flows of this router that are open. */
+    std::uint32_t flows {};
+    /** Requests of these flows without an answer. */
+    std::uint32_t requests {};
+    /** When a caller last acknowledged something that it sent. */
+    TimePoint answeredAt;
+    /** Flows whose caller repeats a packet and that have seen no answer of this upstream since. */
+    std::uint32_t stalledFlows {};
+    /** No new flow before this time, as it did not answer. */
+    TimePoint avoidUntil;
+    /** New flows that it did not answer in a row. */
+    std::uint32_t unansweredOpenings {};
+};
+
+/** @return The token of an upstream; never 0. */
+[[nodiscard]] RoutingToken tokenOf(upstream::UpstreamNumber number) noexcept;
+
+/** @brief The upstreams that a router has been told of, by token and by service. */
+class UpstreamDirectory {
+public:
+    /** @brief Merges announcements by their order. @return Whether any of them was news. */
+    bool merge(const std::vector<upstream::AgedAnnouncement>& announcements, TimePoint now);
+
+    /** @brief Forgets upstreams that departed or fell silent long ago and hold no flow. */
+    void forgetOld(TimePoint now);
+
+    [[nodiscard]] Upstream* find(RoutingToken token);
+    /** @return The upstreams of a service in no order; pointers are valid until the next `merge` or `forgetOld`. */
+    [[nodiscard]] const std::vector<Upstream*>& ofService(const std::string& service) const;
+    [[nodiscard]] const std::unordered_map<RoutingToken, Upstream>& all() const noexcept { return this->upstreams; }
+    [[nodiscard]] std::size_t size() const noexcept { return this->upstreams.size(); }
+
+private:
+    void indexAgain();
+
+    std::unordered_map<RoutingToken, Upstream> upstreams;
+    std::unordered_map<std::string, std::vector<Upstream*>> byService;
+};
+
+} // namespace zinnia::routing
--- /dev/null
+++ b/src/zinnia/runtime/fleet_link.cpp
@@ -0,0 +1,49 @@
+#include "zinnia/runtime/fleet_link.hpp"
+
+#include "zinnia/runtime/logger.hpp"
+
+namespace zinnia::runtime {
+
+Result<std::unique_ptr<FleetLink>, SocketError> FleetLink::create(
+    Poller& poller, const Endpoint& local, const ClusterSettings& cluster, wire::Sealer& sealer, Handler handler)
+{
+    auto socket = UdpSocket::bind(local);
+    if (!socket)
+        return socket.error();
+    return std::unique_ptr<FleetLink> { new FleetLink {
+        poller, std::move(socket).value(), cluster, sealer, std::move(handler) } };
+}
+
+FleetLink::FleetLink(
+    Poller& poller, UdpSocket socket, const ClusterSettings& cluster, wire::Sealer& sealer, Handler handler)
+    : poller { &poller }
+    , socket { std::move(socket) }
+    , port { this->socket.localAddress().port }
+    , sealer { &sealer }
+    , opener { cluster.key, cluster.id, false }
+    , handler { std::move(handler) }
+{
+    poller.watch(this->socket.descriptor(), true, false, [this](Readiness) { this->receive(); });
+}
+
+FleetLink::~FleetLink() { this->poller->unwatch(this->socket.descriptor()); }
+
+void FleetLink::receive()
+{
+    for (const ReceivedDatagram& datagram : this->receiver.receive(this->socket.descriptor())) {
+        const auto message = this->opener.open(datagram.bytes);
+        if (message)
+            this->handler(message.value(), datagram.source);
+        else
+            log(Event::MessageRefused, Field { "reason", message.error() }, Field { "source", datagram.source });
+    }
+}
+
+void FleetLink::sendBytes(const Endpoint& to, wire::MessageKind kind, BytesView body)
+{
+    const Bytes sealed = this->sealer->seal(kind, body);
+    this->sender.add(this->socket.descriptor(), to, sealed, {});
+    this->sender.flush();
+}
+
+} // namespace zinnia::runtime
--- /dev/null
+++ b/src/zinnia/runtime/fleet_link.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "zinnia/core/result.hpp"
+#include "zinnia/runtime/cluster_settings.hpp"
+#include "zinnia/runtime/datagram_batch.hpp"
+#include "zinnia/runtime/poller.hpp"
+#include "zinnia/runtime/udp_socket.hpp"
+#include "zinnia/wire/archive.hpp"
+#include "zinnia/wire/envelope.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace zinnia::runtime {
+
+/** @brief Sealed datagrams between the processes of a fleet, which all use one port. */
+class FleetLink {
+public:
+    /** @brief Handles a message whose seal is valid; the body is valid during the call. */
+    using Handler = std::function<void(const wire::OpenedMessage& message, const Endpoint& source)>;
+
+    /** @param poller, sealer Have to outlive the link. */
+    [[nodiscard]] static Result<std::unique_ptr<FleetLink>, SocketError> create(
+        Poller& poller, const Endpoint& local, const ClusterSettings& cluster, wire::Sealer& sealer, Handler handler);
+    ~FleetLink();
+    FleetLink(const FleetLink&) = delete;
+    FleetLink& operator=(const FleetLink&) = delete;
+
+    /** @brief Sends to the feed port of an instance, without a guarantee of arrival. */
+    template <class Message> void send(InstanceId to, wire::MessageKind kind, const Message& message)
+    {
+        this->sendBytes(Endpoint { to.value, this->port }, kind, wire::encode(message));
+    }
+    template <class Message> void reply(const Endpoint& to, wire::MessageKind kind, const Message& message)
+    {
+        this->sendBytes(to, kind, wire::encode(message));
+    }
+
+private:
+    FleetLink(Poller& poller, UdpSocket socket, const ClusterSettings& cluster, wire::Sealer& sealer, Handler handler);
+    void receive();
+    void sendBytes(const Endpoint& to, wire::MessageKind kind, BytesView body);
+
+    Poller* poller;
+    UdpSocket socket;
+    std::uint16_t port;
+    wire::Sealer* sealer;
+    wire::Opener opener;
+    Handler handler;
+    DatagramReceiver receiver;
+    DatagramSender sender;
+};
+
+} // namespace zinnia::runtime
--- /dev/null
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -0,0 +1,415 @@
+#include "zinnia/runtime/fleet_process.hpp"
+
+#include "zinnia/runtime/logger.hpp"
+
+#include <algorithm>
+
+namespace zinnia::runtime {
+
+namespace {
+
+    /** Interval of the news to the other control instances. */
+    constexpr Milliseconds gossipInterval { 200 };
+    constexpr Milliseconds refreshInterval { 100 };
+    /** A turn that comes this much late means that the process stood still and knows nothing of that time. */
+    constexpr Milliseconds longPause { 1000 };
+    /** Time for a second instance to confirm a drain; callers wait 1 s for an answer. */
+    constexpr Milliseconds shareTimeout { 700 };
+    /** Missed announcements after which an upstream is silent. */
+    constexpr int missedHeartbeats = 3;
+    constexpr Milliseconds heartbeatSlack { 600 };
+    /** Time without a leader from which on upstreams are sent to other instances. */
+    constexpr Milliseconds leaderPatience { 2000 };
+    /** A replica whose storage failed opens its folder again after this time. */
+    constexpr Milliseconds storageRetry { 1000 };
+    /** Announcements in one datagram. */
+    constexpr std::size_t announcementsPerReply = 100;
+    constexpr Milliseconds stopInterval { 50 };
+    /** Unit: stop intervals; 2 s in all. */
+    constexpr int longestStop = 40;
+
+    upstream::BoardSettings boardSettingsOf(const FleetSettings& settings)
+    {
+        upstream::BoardSettings board;
+        board.lease = missedHeartbeats * settings.heartbeat + heartbeatSlack;
+        return board;
+    }
+
+} // namespace
+
+Result<std::unique_ptr<FleetProcess>, FleetError> FleetProcess::create(
+    const FleetSettings& settings, const HttpApi& api, Epoch epoch, EventLoop& loop)
+{
+    std::unique_ptr<FleetProcess> process { new FleetProcess { settings, epoch, loop } };
+    if (const auto error = process->start(api))
+        return *error;
+    return process;
+}
+
+FleetProcess::FleetProcess(const FleetSettings& settings, Epoch epoch, EventLoop& loop)
+    : settings { settings }
+    , epoch { epoch }
+    , loop { &loop }
+    , sealer { settings.cluster.key, settings.cluster.id, settings.instance, epoch }
+    , opener { settings.cluster.key, settings.cluster.id, false }
+    , roster { {}, settings.instance, settings.member.seedIds(), loop.now() }
+    , board { boardSettingsOf(settings) }
+    , lastRefresh { loop.now() }
+    , leaderSeen { loop.now() }
+{
+}
+
+FleetProcess::~FleetProcess() = default;
+
+std::optional<FleetError> FleetProcess::start(const HttpApi& api)
+{
+    auto folder = PosixFolder::create(this->settings.folder);
+    if (!folder)
+        return FleetError::Folder;
+    this->files = std::move(folder.value());
+    if (const auto error = this->startReplica())
+        return error;
+
+    auto server = StreamServer::create(*this->loop, { this->settings.member.address, this->settings.member.ports.stream },
+        [this](BytesView sealed) { return this->answerStream(sealed); });
+    if (!server)
+        return FleetError::StreamAddress;
+    this->streams = std::move(server.value());
+    auto opened = FleetLink::create(*this->loop, { this->settings.member.address, this->settings.member.ports.feed },
+        this->settings.cluster, this->sealer,
+        [this](const wire::OpenedMessage& message, const Endpoint& source) { this->receive(message, source); });
+    if (!opened)
+        return FleetError::FeedAddress;
+    this->link = std::move(opened.value());
+
+    auto listener = HttpListener::create(
+        *this->loop, { .address = this->settings.http }, api(*this, this->settings.http.port));
+    if (!listener)
+        return FleetError::HttpAddress;
+    this->http = std::move(listener.value());
+    if (this->settings.member.ports.metrics != 0) {
+        auto metricsListener = HttpListener::create(*this->loop,
+            { .address = { this->settings.member.address, this->settings.member.ports.metrics }, .connections = 8 },
+            [this](const HttpRequest&, const HttpResponder& respond) {
+                respond(HttpResponse::text(http_status::ok, this->metrics.prometheusText()));
+            });
+        if (!metricsListener)
+            return FleetError::MetricsAddress;
+        this->metricsServer = std::move(metricsListener.value());
+    }
+    this->refresh();
+    this->gossip();
+    return std::nullopt;
+}
+
+std::optional<FleetError> FleetProcess::startReplica()
+{
+    ReplicaDriverSettings driver;
+    driver.cluster = this->settings.cluster.id;
+    driver.replica.self = this->settings.instance;
+    driver.replica.bootstrap = this->settings.bootstrap;
+    driver.replica.targetVoters = this->settings.voters;
+    driver.replica.founders = this->settings.member.seedIds();
+    std::sort(driver.replica.founders.begin(), driver.replica.founders.end());
+    driver.peers = this->replicaPeers();
+    driver.replica.instances = { this->settings.instance };
+    for (const ReplicaPeer& peer : driver.peers)
+        driver.replica.instances.push_back(peer.instance);
+    ReplicaDriver::Application application;
+    application.apply = [this](consensus::LogIndex index, BytesView record) { this->log.apply(index, record); };
+    application.restore = [this](consensus::LogIndex index, BytesView state) { this->log.restore(index, state); };
+    application.capture = [this] { return this->log.snapshot(); };
+    application.report = [](const consensus::Report& report) {
+        runtime::log(report.event, Field { "replica", report.other.instance }, Field { "term", report.term },
+            Field { "index", report.index });
+    };
+    auto created = ReplicaDriver::create(
+        *this->loop, *this->files, this->sealer, std::move(driver), std::move(application));
+    if (!created) {
+        if (created.error().cause == ReplicaDriverError::Cause::Storage)
+            runtime::log(Event::StorageFailed, Field { "cause", created.error().storage });
+        return FleetError::Replica;
+    }
+    this->replica = std::move(created.value());
+    return std::nullopt;
+}
+
+std::vector<ReplicaPeer> FleetProcess::replicaPeers() const
+{
+    std::vector<ReplicaPeer> peers;
+    for (const auto& peer : this->roster.peers())
+        peers.push_back({ peer, Endpoint { peer.value, this->settings.member.ports.stream } });
+    return peers;
+}
+
+void FleetProcess::setPeers()
+{
+    if (this->replica)
+        this->replica->setPeers(this->replicaPeers());
+}
+
+bool FleetProcess::hasLeader() const { return this->replica && this->replica->status().leader.has_value(); }
+
+CallResult FleetProcess::resultOf(const consensus::ProposalResult& result) const
+{
+    if (std::holds_alternative<consensus::Committed>(result))
+        return { CallStatus::Done };
+    if (const auto* other = std::get_if<consensus::NotLeader>(&result))
+        return { CallStatus::NotLeader, other->leader };
+    if (std::holds_alternative<consensus::OutcomeUnknown>(result))
+        return { CallStatus::OutcomeUnknown };
+    return { CallStatus::Unavailable };
+}
+
+void FleetProcess::change(config::FleetCommand command, CallDone done)
+{
+    if (!this->replica)
+        return done({ CallStatus::Unavailable });
+    this->replica->propose(FleetLog::encode(command),
+        [this, done = std::move(done)](const consensus::ProposalResult& result) { done(this->resultOf(result)); });
+}
+
+void FleetProcess::readRoutes(ReadDone done)
+{
+    if (!this->replica)
+        return done({ { CallStatus::Unavailable } });
+    this->replica->read([this, done = std::move(done)](const consensus::ProposalResult& result) {
+        ReadResult read { this->resultOf(result) };
+        if (read.call.status == CallStatus::Done && this->log.state().routes().version != ConfigVersion {})
+            read.document = this->log.state().document();
+        done(read);
+    });
+}
+
+void FleetProcess::announce(const upstream::Announcement& announcement, CallDone done)
+{
+    this->observe(announcement, Milliseconds { 0 }, "call");
+    // An instance that is cut off takes note, but sends the upstream to one that others hear.
+    if (this->loop->now() - this->leaderSeen > leaderPatience)
+        return done({ CallStatus::Unavailable });
+    if (announcement.state == upstream::AnnouncedState::Draining)
+        return this->share(announcement.number, std::move(done));
+    done({ CallStatus::Done });
+}
+
+void FleetProcess::depart(upstream::UpstreamNumber number, CallDone done)
+{
+    const upstream::Announcement* known = this->board.find(number);
+    if (known == nullptr)
+        return done({ CallStatus::Done });
+    upstream::Announcement last = *known;
+    last.state = upstream::AnnouncedState::Gone;
+    last.order.sequence = upstream::AnnouncementOrder::departure;
+    this->observe(last, Milliseconds { 0 }, "call");
+    this->share(number, std::move(done));
+}
+
+void FleetProcess::observe(const upstream::Announcement& announcement, Milliseconds age, const char* path)
+{
+    const auto outcome = this->board.observe(announcement, age, this->loop->now());
+    if (outcome == upstream::BoardOutcome::Changed)
+        runtime::log(Event::UpstreamAnnounced, Field { "upstream", announcement.number },
+            Field { "service", announcement.service }, Field { "address", announcement.address },
+            Field { "zone", announcement.zone }, Field { "state", announcement.state },
+            Field { "cold_ms", announcement.coldLeft }, Field { "sequence", announcement.order.sequence },
+            Field { "age_ms", age }, Field { "path", path });
+}
+
+void FleetProcess::share(upstream::UpstreamNumber number, CallDone done)
+{
+    const upstream::Announcement* current = this->board.find(number);
+    const auto peers = this->roster.peers();
+    if (current == nullptr || peers.empty())
+        return done({ CallStatus::Done });
+    const auto known = this->confirmed.find(number);
+    if (known != this->confirmed.end() && known->second.state == current->state
+        && known->second.order.startedAt == current->order.startedAt)
+        return done({ CallStatus::Done });
+    const std::uint64_t ticket = this->nextShare++;
+    const TimerId timer = this->loop->schedule(
+        shareTimeout, [this, ticket] { this->finishShare(ticket, CallStatus::Unavailable); });
+    this->shares.emplace(ticket, PendingShare { number, std::move(done), timer });
+    const feed::Gossip message { ticket, this->epoch, this->roster.live(this->loop->now()),
+        { { *current, Milliseconds { 0 } } } };
+    for (const auto& peer : peers)
+        this->link->send(peer, wire::MessageKind::Gossip, message);
+}
+
+void FleetProcess::finishShare(std::uint64_t number, CallStatus status)
+{
+    auto share = this->shares.extract(number);
+    if (share.empty())
+        return;
+    this->loop->cancel(share.mapped().timer);
+    if (const auto* current = this->board.find(share.mapped().number);
+        status == CallStatus::Done && current != nullptr)
+        this->confirmed.insert_or_assign(share.mapped().number, *current);
+    share.mapped().done({ status });
+}
+
+std::optional<Bytes> FleetProcess::answerStream(BytesView sealed)
+{
+    const auto opened = this->opener.open(sealed);
+    RefusalReason reason = opened ? RefusalReason::UnknownKind : opened.error();
+    if (opened && opened.value().kind == wire::MessageKind::Consensus) {
+        // A replica that is opening its folder again is like one that is down.
+        if (!this->replica)
+            return Bytes {};
+        const auto refused = this->replica->receive(opened.value());
+        if (!refused)
+            return Bytes {};
+        reason = *refused;
+    }
+    this->metrics.refusals(reason).add();
+    runtime::log(Event::MessageRefused, Field { "reason", reason });
+    return std::nullopt;
+}
+
+void FleetProcess::receive(const wire::OpenedMessage& message, const Endpoint& source)
+{
+    const auto decode = [&]<class Message>(std::type_identity<Message>) {
+        const auto decoded = wire::decode<Message>(message.body);
+        if (decoded)
+            this->receive(message.sender, decoded.value(), source);
+        else
+            runtime::log(Event::MessageRefused, Field { "reason", RefusalReason::Malformed });
+    };
+    if (message.kind == wire::MessageKind::Gossip)
+        decode(std::type_identity<feed::Gossip> {});
+    else if (message.kind == wire::MessageKind::GossipAck)
+        decode(std::type_identity<feed::GossipAck> {});
+    else if (message.kind == wire::MessageKind::FeedRequest)
+        decode(std::type_identity<feed::FeedRequest> {});
+    else
+        runtime::log(Event::MessageRefused, Field { "reason", RefusalReason::UnknownKind });
+}
+
+void FleetProcess::receive(InstanceId sender, const feed::Gossip& message, const Endpoint& source)
+{
+    const TimePoint now = this->loop->now();
+    const feed::RosterChange change = this->roster.heard(sender, message.epoch, now);
+    const bool learned = this->roster.learn(message.controls, now);
+    for (const auto& [announcement, age] : message.announcements)
+        this->observe(announcement, age, "gossip");
+    if (message.number != 0)
+        this->link->reply(source, wire::MessageKind::GossipAck, feed::GossipAck { message.number });
+    if (change != feed::RosterChange::Known) {
+        runtime::log(Event::PeerAlive, Field { "instance", sender });
+        this->link->send(sender, wire::MessageKind::Gossip,
+            feed::Gossip { 0, this->epoch, this->roster.live(now), this->board.all(now) });
+    }
+    if (learned || change == feed::RosterChange::Appeared)
+        this->setPeers();
+}
+
+void FleetProcess::receive(InstanceId, const feed::GossipAck& message, const Endpoint&)
+{
+    this->finishShare(message.number, CallStatus::Done);
+}
+
+void FleetProcess::receive(InstanceId, const feed::FeedRequest& message, const Endpoint& source)
+{
+    const TimePoint now = this->loop->now();
+    feed::FeedReply reply;
+    reply.number = message.number;
+    reply.confirmed = this->hasLeader();
+    reply.revision = this->log.routing().revision;
+    if (message.revision < reply.revision)
+        reply.state = this->log.routing();
+    reply.board = this->epoch;
+    const std::uint64_t since = message.board == this->epoch ? message.change : 0;
+    reply.announcements = this->board.changedSince(since, announcementsPerReply, reply.change, now);
+    reply.lastChange = this->board.lastChange();
+    reply.controls = this->roster.live(now);
+    this->link->reply(source, wire::MessageKind::FeedReply, reply);
+}
+
+void FleetProcess::gossip()
+{
+    this->loop->schedule(gossipInterval, [this] { this->gossip(); });
+    const TimePoint now = this->loop->now();
+    const feed::Gossip message { 0, this->epoch, this->roster.live(now), this->board.takeFresh(now) };
+    for (const auto& peer : this->roster.peers())
+        this->link->send(peer, wire::MessageKind::Gossip, message);
+}
+
+void FleetProcess::refresh()
+{
+    this->loop->schedule(refreshInterval, [this] { this->refresh(); });
+    const TimePoint now = this->loop->now();
+    if (now - this->lastRefresh > longPause)
+        this->leaderSince.reset();
+    this->lastRefresh = now;
+    if (this->hasLeader()) {
+        this->leaderSeen = now;
+        this->leaderSince = this->leaderSince.value_or(now);
+    } else {
+        this->leaderSince.reset();
+    }
+    // Silence counts only after a whole lease in which the others could have told of it.
+    const bool trusted = this->leaderSince && now - *this->leaderSince > boardSettingsOf(this->settings).lease;
+    for (const auto& number : this->board.expire(trusted, now))
+        runtime::log(Event::UpstreamSilent, Field { "upstream", number });
+    std::erase_if(this->confirmed, [this](const auto& item) { return this->board.find(item.first) == nullptr; });
+    if (this->roster.forgetOld(now))
+        this->setPeers();
+    this->restartReplica();
+    if (!this->replica)
+        return;
+    const consensus::Status status = this->replica->status();
+    this->metrics.gauge({ "zinnia_control_is_leader" }).set(status.role == consensus::Role::Leader ? 1 : 0);
+    this->metrics.gauge({ "zinnia_control_term" }).set(static_cast<double>(status.term));
+    this->metrics.gauge({ "zinnia_control_commit_index" }).set(static_cast<double>(status.commit));
+    this->metrics.gauge({ "zinnia_control_voters" }).set(static_cast<double>(status.voters.size()));
+    this->metrics.gauge({ "zinnia_routes_version" })
+        .set(static_cast<double>(this->log.state().routes().version.value));
+    this->metrics.gauge({ "zinnia_upstreams_announced" }).set(static_cast<double>(this->board.size()));
+}
+
+void FleetProcess::restartReplica()
+{
+    const TimePoint now = this->loop->now();
+    if (this->replica) {
+        const auto role = this->replica->status().role;
+        if (role != consensus::Role::StorageFailed)
+            return;
+        this->replica.reset();
+        // The new replica applies the whole log again, and half of it is not a state to tell others.
+        this->log = FleetLog {};
+        this->restartDue = now + storageRetry;
+        return;
+    }
+    if (now < this->restartDue)
+        return;
+    this->restartDue = now + storageRetry;
+    (void)this->startReplica();
+}
+
+void FleetProcess::reload(const FleetSettings& changed)
+{
+    this->settings.member.seeds = changed.member.seeds;
+    this->roster.setSeeds(changed.member.seedIds(), this->loop->now());
+    this->setPeers();
+    runtime::log(Event::SettingsReloaded, Field { "seeds", changed.member.seeds.size() });
+}
+
+void FleetProcess::stop()
+{
+    if (std::exchange(this->stopping, true))
+        return;
+    if (this->replica)
+        this->replica->stop();
+    this->continueStop(longestStop);
+}
+
+void FleetProcess::continueStop(int turnsLeft)
+{
+    const bool busy = (this->replica && this->replica->pendingCount() > 0) || !this->shares.empty();
+    if (!busy || turnsLeft == 0) {
+        this->loop->stop();
+        return;
+    }
+    this->loop->schedule(stopInterval, [this, turnsLeft] { this->continueStop(turnsLeft - 1); });
+}
+
+} // namespace zinnia::runtime
--- /dev/null
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "zinnia/feed/control_roster.hpp"
+#include "zinnia/runtime/event_loop.hpp"
+#include "zinnia/runtime/fleet_link.hpp"
+#include "zinnia/runtime/fleet_log.hpp"
+#include "zinnia/runtime/fleet_service.hpp"
+#include "zinnia/runtime/fleet_settings.hpp"
+#include "zinnia/runtime/http_listener.hpp"
+#include "zinnia/runtime/metrics.hpp"
+#include "zinnia/runtime/replica_driver.hpp"
+#include "zinnia/runtime/stream_server.hpp"
+#include "zinnia/upstream/announcement_board.hpp"
+
+#include <map>
+#include <memory>
+
+namespace zinnia::runtime {
+
+/** @brief Why a control instance of a fleet could not be started. */
+enum class FleetError : unsigned char { Folder, Replica, FeedAddress, StreamAddress, HttpAddress, MetricsAddress };
+
+inline constexpr NameTable<FleetError, 6> fleetErrorNames { {
+    { FleetError::Folder, "folder" },
+    { FleetError::Replica, "replica" },
+    { FleetError::FeedAddress, "feed_address" },
+    { FleetError::StreamAddress, "stream_address" },
+    { FleetError::HttpAddress, "http_address" },
+    { FleetError::MetricsAddress, "metrics_address" },
+} };
+static_assert(isDense(fleetErrorNames));
+
+[[nodiscard]] constexpr std::string_view nameOf(FleetError error) noexcept { return nameIn(fleetErrorNames, error); }
+
+/** @brief Makes the handler of the HTTP calls for a service. */
+using HttpApi = std::function<HttpRequestHandler(FleetService& service, std::uint16_t httpPort)>;
+
+/**
+ * @brief One control instance of a fleet: the replicated log of routes and withdrawn zones, and the announcements.
+ *
+ * Routes and withdrawals are durable at a majority before they are acknowledged. Announcements are soft state:
+ * every control instance keeps all of them, and upstreams repeat them.
+ */
+class FleetProcess final : public FleetService {
+public:
+    /** @param loop Has to outlive the process. */
+    [[nodiscard]] static Result<std::unique_ptr<FleetProcess>, FleetError> create(
+        const FleetSettings& settings, const HttpApi& api, Epoch epoch, EventLoop& loop);
+    ~FleetProcess() override;
+    FleetProcess(const FleetProcess&) = delete;
+    FleetProcess& operator=(const FleetProcess&) = delete;
+
+    void change(config::FleetCommand command, CallDone done) override;
+    void readRoutes(ReadDone done) override;
+    void announce(const upstream::Announcement& announcement, CallDone done) override;
+    void depart(upstream::UpstreamNumber number, CallDone done) override;
+
+    /** @brief Applies settings that were read again: the seeds. */
+    void reload(const FleetSettings& changed);
+    /** @brief Refuses new changes and stops the loop once the others have a result. */
+    void stop();
+
+private:
+    /** @brief A drain or departure that waits until a second instance has confirmed it. */
+    struct PendingShare {
+        upstream::UpstreamNumber number;
+        CallDone done;
+        TimerId timer;
+    };
+
+    FleetProcess(const FleetSettings& settings, Epoch epoch, EventLoop& loop);
+
+    [[nodiscard]] std::optional<FleetError> start(const HttpApi& api);
+    [[nodiscard]] std::optional<FleetError> startReplica();
+    [[nodiscard]] std::vector<ReplicaPeer> replicaPeers() const;
+    [[nodiscard]] std::optional<Bytes> answerStream(BytesView sealed);
+    void receive(const wire::OpenedMessage& message, const Endpoint& source);
+    void receive(InstanceId sender, const feed::Gossip& message, const Endpoint& source);
+    void receive(InstanceId sender, const feed::GossipAck& message, const Endpoint& source);
+    void receive(InstanceId sender, const feed::FeedRequest& message, const Endpoint& source);
+    void observe(const upstream::Announcement& announcement, Milliseconds age, const char* path);
+    void share(upstream::UpstreamNumber number, CallDone done);
+    void finishShare(std::uint64_t number, CallStatus status);
+    void gossip();
+    void refresh();
+    void restartReplica();
+    void setPeers();
+    void continueStop(int turnsLeft);
+    [[nodiscard]] bool hasLeader() const;
+    [[nodiscard]] CallResult resultOf(const consensus::ProposalResult& result) const;
+
+    FleetSettings settings;
+    Epoch epoch;
+    EventLoop* loop;
+    MetricsRegistry metrics;
+    wire::Sealer sealer;
+    wire::Opener opener;
+    std::unique_ptr<FileSystem> files;
+    FleetLog log;
+    std::unique_ptr<ReplicaDriver> replica;
+    std::unique_ptr<StreamServer> streams;
+    std::unique_ptr<FleetLink> link;
+    std::unique_ptr<HttpListener> http;
+    std::unique_ptr<HttpListener> metricsServer;
+    feed::ControlRoster roster;
+    upstream::AnnouncementBoard board;
+    std::uint64_t nextShare = 1;
+    std::map<std::uint64_t, PendingShare> shares;
+    /** The last drain or departure of an upstream that a second instance has confirmed. */
+    std::map<upstream::UpstreamNumber, upstream::Announcement> confirmed;
+    TimePoint lastRefresh;
+    /** Since when a leader has been known without a break. */
+    std::optional<TimePoint> leaderSince;
+    /** When a leader was last known. */
+    TimePoint leaderSeen;
+    TimePoint restartDue;
+    bool stopping {};
+};
+
+} // namespace zinnia::runtime
--- /dev/null
+++ b/src/zinnia/runtime/fleet_settings.cpp
@@ -0,0 +1,67 @@
+#include "zinnia/runtime/fleet_settings.hpp"
+
+#include <limits>
+
+namespace zinnia::runtime {
+
+namespace {
+
+    constexpr Range<std::int64_t> portRange { 1, std::numeric_limits<std::uint16_t>::max() };
+
+    std::uint16_t portOf(TableReader& table, std::string_view key)
+    {
+        return static_cast<std::uint16_t>(table.integer(key, portRange));
+    }
+
+} // namespace
+
+std::vector<InstanceId> FleetMember::seedIds() const
+{
+    std::vector<InstanceId> ids;
+    for (const auto& seed : this->seeds)
+        ids.push_back(InstanceId { seed.address });
+    return ids;
+}
+
+FleetMember readFleetMember(TableReader& root)
+{
+    FleetMember member;
+    TableReader instance = root.table("instance");
+    member.name = instance.text("name");
+    const std::string address = instance.text("address");
+    const auto parsed = Endpoint::parse(address + ":1");
+    if (parsed)
+        member.address = parsed->address;
+    else
+        instance.reject("address", address, "an IPv4 address");
+    member.zone = instance.text("zone");
+    TableReader ports = root.table("ports");
+    member.ports.feed = portOf(ports, "feed");
+    member.ports.stream = portOf(ports, "stream");
+    member.ports.metrics = static_cast<std::uint16_t>(ports.integer("metrics", { 0, portRange.most }, 0));
+    TableReader discovery = root.table("discovery");
+    member.seeds = discovery.endpoints("seeds");
+    return member;
+}
+
+FleetSettings readFleetSettings(TableReader& root)
+{
+    FleetSettings settings;
+    settings.member = readFleetMember(root);
+    settings.instance = settings.member.id();
+    settings.cluster = readClusterSettings(root);
+    TableReader listen = root.table("listen");
+    settings.http = listen.endpoint("http");
+    TableReader storage = root.table("storage");
+    settings.folder = storage.text("folder");
+    settings.bootstrap = storage.boolean("bootstrap", false);
+    TableReader group = root.table("group");
+    // A group of 2n + 1 voters bears the loss of n.
+    settings.voters = 2 * static_cast<std::size_t>(group.integer("lost_instances", { 0, 3 }, 1)) + 1;
+    TableReader upstreams = root.table("upstreams");
+    settings.heartbeat = upstreams.milliseconds("heartbeat_ms", { Milliseconds { 10 }, Milliseconds { 60000 } });
+    settings.log = readLogSettings(root);
+    return settings;
+}
+
+} // namespace zinnia::runtime
--- /dev/null
+++ b/src/zinnia/runtime/fleet_settings.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "zinnia/core/endpoint.hpp"
+#include "zinnia/core/ids.hpp"
+#include "zinnia/runtime/cluster_settings.hpp"
+#include "zinnia/runtime/log_settings.hpp"
+
+#include <string>
+#include <vector>
+
+namespace zinnia::runtime {
+
+/** @brief Where the processes of a fleet listen. Ports are the same on all instances. */
+struct FleetPorts {
+    /** UDP: requests of routers and news between control instances. */
+    std::uint16_t feed {};
+    /** TCP: the replicated log. */
+    std::uint16_t stream {};
+    /** TCP: metrics in the Prometheus format; 0 for none. */
+    std::uint16_t metrics {};
+};
+
+/** @brief Identity and place of an instance, and whom it knows at its start. */
+struct FleetMember {
+    std::string name;
+    /** IPv4 address. It is also the identity of the instance. */
+    std::uint32_t address {};
+    std::string zone;
+    FleetPorts ports;
+    /** Control addresses of some control instances. */
+    std::vector<Endpoint> seeds;
+
+    [[nodiscard]] InstanceId id() const noexcept { return InstanceId { this->address }; }
+    [[nodiscard]] std::vector<InstanceId> seedIds() const;
+};
+
+/** @brief Settings of `zinnia-fleet`. */
+struct FleetSettings {
+    FleetMember member;
+    /** Equals `member.id()`. */
+    InstanceId instance;
+    ClusterSettings cluster;
+    /** TCP: calls of upstreams and operators. */
+    Endpoint http;
+    std::string folder;
+    /** First start of the fleet. */
+    bool bootstrap {};
+    /** Voters of the replicated log. */
+    std::size_t voters = 3;
+    /** Interval at which upstreams announce themselves. */
+    Milliseconds heartbeat { 1200 };
+    LogSettings log;
+};
+
+/** @brief Reads the tables "instance", "ports" and the key "discovery.seeds". */
+[[nodiscard]] FleetMember readFleetMember(TableReader& root);
+/** @brief Reads the settings of `zinnia-fleet` from the root table. */
+[[nodiscard]] FleetSettings readFleetSettings(TableReader& root);
+
+} // namespace zinnia::runtime
--- /dev/null
+++ b/src/zinnia/runtime/http_listener.cpp
@@ -0,0 +1,297 @@
+#include "zinnia/runtime/http_listener.hpp"
+
+#include "zinnia/runtime/logger.hpp"
+#include "zinnia/runtime/socket_address.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace zinnia::runtime {
+
+namespace {
+
+    namespace net = Poco::Net;
+
+    constexpr int backlog = 256;
+    constexpr Milliseconds sweepInterval { 1000 };
+    constexpr std::string_view headerEnd = "\r\n\r\n";
+
+    SocketError errorOfNumber(int number) noexcept
+    {
+        if (number == EADDRINUSE)
+            return SocketError::AddressInUse;
+        if (number == EADDRNOTAVAIL)
+            return SocketError::AddressNotAvailable;
+        return number == EMFILE || number == ENFILE ? SocketError::TooManyOpenFiles : SocketError::Other;
+    }
+
+    std::string textOf(const HttpResponse& response, bool keepAlive)
+    {
+        net::HTTPResponse head { net::HTTPMessage::HTTP_1_1,
+            static_cast<net::HTTPResponse::HTTPStatus>(response.status) };
+        head.setContentType(response.contentType);
+        head.setContentLength64(static_cast<Poco::Int64>(response.body.size()));
+        head.setKeepAlive(keepAlive);
+        if (!response.location.empty())
+            head.set("Location", response.location);
+        std::ostringstream stream;
+        head.write(stream);
+        return stream.str() + response.body;
+    }
+
+    /** @brief A request head, or the status with which it is refused. */
+    struct Head {
+        int status = http_status::ok;
+        HttpRequest request;
+        std::size_t bodyBytes {};
+        bool keepAlive {};
+    };
+
+    Head parseHead(std::string_view text)
+    {
+        Head head;
+        try {
+            Poco::MemoryInputStream stream { text.data(), static_cast<std::streamsize>(text.size()) };
+            net::HTTPRequest parsed;
+            parsed.read(stream);
+            const auto method = valueIn(httpMethodNames, parsed.getMethod());
+            if (!method)
+                head.status = http_status::methodNotAllowed;
+            else if (parsed.getChunkedTransferEncoding())
+                head.status = http_status::lengthRequired;
+            head.request
+                = HttpRequest { method.value_or(HttpMethod {}), parsed.getURI(), parsed.get("Authorization", ""), "" };
+            head.bodyBytes
+                = parsed.hasContentLength() ? static_cast<std::size_t>(parsed.getContentLength64()) : std::size_t { 0 };
+            head.keepAlive = parsed.getKeepAlive();
+        } catch (const Poco::Exception&) {
+            head.status = http_status::badRequest;
+        }
+        return head;
+    }
+
+} // namespace
+
+struct HttpListener::Connection {
+    int descriptor = -1;
+    std::string input;
+    std::string output;
+    std::optional<Head> head;
+    TimePoint lastUse;
+    bool answering {};
+    bool closing {};
+    /** Whether the loop tells when it can be written to. */
+    bool watchesWrite {};
+};
+
+Result<std::unique_ptr<HttpListener>, SocketError> HttpListener::create(
+    Poller& poller, const HttpListenerSettings& settings, HttpRequestHandler handler)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return errorOfNumber(errno);
+    const int on = 1;
+    (void)setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in address = internal::socketAddressOf(settings.address);
+    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0
+        || listen(descriptor, backlog) != 0) {
+        const SocketError error = errorOfNumber(errno);
+        ::close(descriptor);
+        return error;
+    }
+    return std::unique_ptr<HttpListener> { new HttpListener { poller, settings, std::move(handler), descriptor } };
+}
+
+HttpListener::HttpListener(
+    Poller& poller, const HttpListenerSettings& settings, HttpRequestHandler handler, int descriptor)
+    : poller { &poller }
+    , settings { settings }
+    , handler { std::move(handler) }
+    , descriptor { descriptor }
+    , bound { settings.address }
+    , self { std::make_shared<HttpListener*>(this) }
+{
+    sockaddr_in address {};
+    socklen_t size = sizeof(address);
+    if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0)
+        this->bound = internal::endpointOf(address);
+    poller.watch(descriptor, true, false, [this](Readiness) { this->accept(); });
+    this->sweepTimer = poller.schedule(sweepInterval, [this] { this->sweep(); });
+}
+
+HttpListener::~HttpListener()
+{
+    *this->self = nullptr;
+    this->poller->cancel(this->sweepTimer);
+    this->poller->unwatch(this->descriptor);
+    ::close(this->descriptor);
+    while (!this->connections.empty())
+        this->close(this->connections.begin()->first);
+}
+
+void HttpListener::accept()
+{
+    while (true) {
+        const int accepted = accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0)
+            return;
+        if (this->connections.size() >= this->settings.connections) {
+            const auto idlest = std::min_element(this->connections.begin(), this->connections.end(),
+                [](const auto& a, const auto& b) { return a.second->lastUse < b.second->lastUse; });
+            this->close(idlest->first);
+        }
+        const int on = 1;
+        (void)setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        const std::uint64_t number = this->nextConnection++;
+        auto connection = std::make_unique<Connection>();
+        connection->descriptor = accepted;
+        connection->lastUse = this->poller->now();
+        this->connections.emplace(number, std::move(connection));
+        this->poller->watch(
+            accepted, true, false, [this, number](Readiness readiness) { this->onReady(number, readiness); });
+    }
+}
+
+void HttpListener::onReady(std::uint64_t number, Readiness readiness)
+{
+    if (readiness.writable)
+        this->flush(number);
+    if (readiness.readable || readiness.failed)
+        this->readFrom(number);
+}
+
+void HttpListener::readFrom(std::uint64_t number)
+{
+    const auto found = this->connections.find(number);
+    if (found == this->connections.end())
+        return;
+    Connection& connection = *found->second;
+    std::array<char, 16384> part {};
+    const std::size_t limit = this->settings.headerBytes + this->settings.bodyBytes;
+    while (connection.input.size() <= limit) {
+        const ssize_t size = recv(connection.descriptor, part.data(), part.size(), 0);
+        if (size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR))
+            return this->close(number);
+        if (size < 0)
+            break;
+        connection.input.append(part.data(), static_cast<std::size_t>(size));
+    }
+    this->takeRequests(number);
+}
+
+void HttpListener::takeRequests(std::uint64_t number)
+{
+    const auto found = this->connections.find(number);
+    if (found == this->connections.end())
+        return;
+    Connection& connection = *found->second;
+    if (connection.answering || connection.closing)
+        return;
+    if (!connection.head) {
+        const auto end = connection.input.find(headerEnd);
+        const bool tooLarge = (end == std::string::npos ? connection.input.size() : end) > this->settings.headerBytes;
+        if (end == std::string::npos && !tooLarge)
+            return;
+        Head head;
+        if (tooLarge)
+            head.status = http_status::headerTooLarge;
+        else
+            head = parseHead(std::string_view { connection.input }.substr(0, end + headerEnd.size()));
+        if (head.bodyBytes > this->settings.bodyBytes)
+            head.status = http_status::contentTooLarge;
+        if (head.status != http_status::ok) {
+            log(Event::HttpRequestRefused, Field { "status", head.status }, Field { "path", head.request.path });
+            // What follows a refused head cannot be told from a new request.
+            connection.closing = true;
+            connection.answering = true;
+            return this->respond(number, HttpResponse::text(head.status, "refused\n"));
+        }
+        connection.input.erase(0, end + headerEnd.size());
+        connection.head = std::move(head);
+    }
+    if (connection.input.size() < connection.head->bodyBytes)
+        return;
+    HttpRequest request = std::move(connection.head->request);
+    request.body = connection.input.substr(0, connection.head->bodyBytes);
+    connection.input.erase(0, connection.head->bodyBytes);
+    connection.closing = !connection.head->keepAlive;
+    connection.head.reset();
+    connection.answering = true;
+    connection.lastUse = this->poller->now();
+    this->handler(std::move(request), [owner = this->self, number](const HttpResponse& response) {
+        if (*owner != nullptr)
+            (*owner)->respond(number, response);
+    });
+}
+
+void HttpListener::respond(std::uint64_t number, const HttpResponse& response)
+{
+    const auto found = this->connections.find(number);
+    if (found == this->connections.end() || !found->second->answering)
+        return;
+    Connection& connection = *found->second;
+    connection.answering = false;
+    connection.lastUse = this->poller->now();
+    connection.output += textOf(response, !connection.closing);
+    this->flush(number);
+    this->takeRequests(number);
+}
+
+void HttpListener::flush(std::uint64_t number)
+{
+    const auto found = this->connections.find(number);
+    if (found == this->connections.end())
+        return;
+    Connection& connection = *found->second;
+    while (!connection.output.empty()) {
+        const ssize_t size
+            = send(connection.descriptor, connection.output.data(), connection.output.size(), MSG_NOSIGNAL);
+        if (size < 0 && errno != EAGAIN && errno != EINTR)
+            return this->close(number);
+        if (size < 0)
+            break;
+        connection.output.erase(0, static_cast<std::size_t>(size));
+    }
+    if (connection.output.empty() && connection.closing && !connection.answering)
+        return this->close(number);
+    const bool pending = !connection.output.empty();
+    if (pending == connection.watchesWrite)
+        return;
+    connection.watchesWrite = pending;
+    this->poller->watch(connection.descriptor, true, pending,
+        [this, number](Readiness readiness) { this->onReady(number, readiness); });
+}
+
+void HttpListener::close(std::uint64_t number)
+{
+    const auto found = this->connections.find(number);
+    if (found == this->connections.end())
+        return;
+    this->poller->unwatch(found->second->descriptor);
+    ::close(found->second->descriptor);
+    this->connections.erase(found);
+}
+
+void HttpListener::sweep()
+{
+    this->sweepTimer = this->poller->schedule(sweepInterval, [this] { this->sweep(); });
+    const TimePoint now = this->poller->now();
+    std::vector<std::uint64_t> idle;
+    for (const auto& [number, connection] : this->connections) {
+        if (now - connection->lastUse > this->settings.idleTimeout)
+            idle.push_back(number);
+    }
+    for (const std::uint64_t number : idle)
+        this->close(number);
+}
+
+} // namespace zinnia::runtime
--- /dev/null
+++ b/src/zinnia/runtime/http_listener.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "zinnia/core/endpoint.hpp"
+#include "zinnia/core/result.hpp"
+#include "zinnia/core/time.hpp"
+#include "zinnia/runtime/http_message.hpp"
+#include "zinnia/runtime/poller.hpp"
+#include "zinnia/runtime/udp_socket.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace zinnia::runtime {
+
+/** @brief Limits of an HTTP listener. */
+struct HttpListenerSettings {
+    Endpoint address;
+    /** Connections at a time; a further one replaces the one that has been idle for longest. */
+    std::size_t connections = 512;
+    /** Largest accepted header. Unit: bytes. */
+    std::size_t headerBytes = 16U << 10U;
+    /** Largest accepted body. Unit: bytes. */
+    std::size_t bodyBytes = 4U << 20U;
+    /** A connection without a complete request for this long is closed. */
+    Milliseconds idleTimeout { 15000 };
+};
+
+/** @brief Sends the answer to one request; to be called once, at any later time, on the loop thread. */
+using HttpResponder = std::function<void(HttpResponse)>;
+using HttpRequestHandler = std::function<void(HttpRequest, HttpResponder)>;
+
+/**
+ * @brief Serves HTTP/1.1 on the loop thread, without a thread for each connection.
+ *
+ * Answers may be given later, so that a call can wait for a commit without blocking the others. Requests of one
+ * connection are answered in order, one at a time.
+ */
+class HttpListener {
+public:
+    /** @param poller Has to outlive the listener. */
+    [[nodiscard]] static Result<std::unique_ptr<HttpListener>, SocketError> create(
+        Poller& poller, const HttpListenerSettings& settings, HttpRequestHandler handler);
+    ~HttpListener();
+    HttpListener(const HttpListener&) = delete;
+    HttpListener& operator=(const HttpListener&) = delete;
+
+    /** @return The address with the actual port. */
+    [[nodiscard]] Endpoint address() const { return this->bound; }
+    [[nodiscard]] std::size_t connectionCount() const noexcept { return this->connections.size(); }
+
+private:
+    struct Connection;
+
+    HttpListener(Poller& poller, const HttpListenerSettings& settings, HttpRequestHandler handler, int descriptor);
+
+    void accept();
+    void onReady(std::uint64_t number, Readiness readiness);
+    void readFrom(std::uint64_t number);
+    void takeRequests(std::uint64_t number);
+    void respond(std::uint64_t number, const HttpResponse& response);
+    void flush(std::uint64_t number);
+    void close(std::uint64_t number);
+    void sweep();
+
+    Poller* poller;
+    HttpListenerSettings settings;
+    HttpRequestHandler handler;
+    int descriptor;
+    Endpoint bound;
+    std::uint64_t nextConnection = 1;
+    std::map<std::uint64_t, std::unique_ptr<Connection>> connections;
+    TimerId sweepTimer;
+    /** Tells responders that are called late whether the listener still exists. */
+    std::shared_ptr<HttpListener*> self;
+};
+
+} // namespace zinnia::runtime
--- a/src/zinnia/runtime/http_message.hpp
+++ b/src/zinnia/runtime/http_message.hpp
@@ -7,11 +7,13 @@
 
 namespace zinnia::runtime {
 
-enum class HttpMethod : unsigned char { Get, Post };
+enum class HttpMethod : unsigned char { Get, Post, Put, Delete };
 
-inline constexpr NameTable<HttpMethod, 2> httpMethodNames { {
+inline constexpr NameTable<HttpMethod, 4> httpMethodNames { {
     { HttpMethod::Get, "GET" },
     { HttpMethod::Post, "POST" },
+    { HttpMethod::Put, "PUT" },
+    { HttpMethod::Delete, "DELETE" },
 } };
 static_assert(isDense(httpMethodNames));
 
@@ -24,7 +26,9 @@
     inline constexpr int methodNotAllowed = 405;
     inline constexpr int requestTimeout = 408;
     inline constexpr int conflict = 409;
+    inline constexpr int lengthRequired = 411;
     inline constexpr int contentTooLarge = 413;
+    inline constexpr int headerTooLarge = 431;
     inline constexpr int internalError = 500;
     inline constexpr int serviceUnavailable = 503;
 } // namespace http_status
--- a/src/zinnia/runtime/replica_driver.cpp
+++ b/src/zinnia/runtime/replica_driver.cpp
@@ -71,6 +71,24 @@
     this->enqueue(consensus::Read { this->expect(std::move(callback)) });
 }
 
+void ReplicaDriver::setPeers(const std::vector<ReplicaPeer>& peers)
+{
+    std::vector<InstanceId> instances { this->settings.replica.self };
+    for (const auto& peer : peers) {
+        if (peer.instance == this->settings.replica.self)
+            continue;
+        instances.push_back(peer.instance);
+        if (!this->clients.contains(peer.instance))
+            this->clients[peer.instance]
+                = std::make_unique<StreamClient>(*this->poller, peer.address, this->settings.streams);
+    }
+    // Also drops the connections of instances that are no longer known.
+    std::erase_if(this->clients, [&](const auto& item) {
+        return std::find(instances.begin(), instances.end(), item.first) == instances.end();
+    });
+    this->enqueue(consensus::InstancesKnown { std::move(instances) });
+}
+
 std::optional<RefusalReason> ReplicaDriver::receive(const wire::OpenedMessage& message)
 {
     auto decoded = wire::decode<consensus::Message>(message.body);
--- a/src/zinnia/runtime/replica_driver.hpp
+++ b/src/zinnia/runtime/replica_driver.hpp
@@ -85,6 +85,8 @@
     void propose(Bytes command, ResultCallback callback);
     /** @brief Confirms leadership; on `Committed` the application's state includes all acknowledged commands. */
     void read(ResultCallback callback);
+    /** @brief Tells the replica which instances there are; for groups that change. */
+    void setPeers(const std::vector<ReplicaPeer>& peers);
     /** @return Why a message of kind `Consensus` was refused, or nothing. */
     [[nodiscard]] std::optional<RefusalReason> receive(const wire::OpenedMessage& message);
     /** @brief Refuses new proposals; those that wait may still be committed. */
--- /dev/null
+++ b/src/zinnia/runtime/router_process.cpp
@@ -0,0 +1,213 @@
+#include "zinnia/runtime/router_process.hpp"
+
+#include "zinnia/runtime/logger.hpp"
+
+namespace zinnia::runtime {
+
+namespace {
+
+    constexpr Milliseconds feedTick { 150 };
+    constexpr Milliseconds expiryInterval { 1000 };
+    /** Batches read in one turn, so that timers and calls are not kept waiting under load. */
+    constexpr int batchesEachTurn = 4;
+
+    routing::FlowRouterSettings routerSettingsOf(const RouterSettings& settings, Epoch epoch)
+    {
+        routing::FlowRouterSettings router;
+        router.zone = settings.member.zone;
+        router.seed = settings.instance.value ^ epoch.value;
+        return router;
+    }
+
+    feed::FeedClientSettings feedSettings()
+    {
+        feed::FeedClientSettings settings;
+        settings.interval = feedTick;
+        return settings;
+    }
+
+} // namespace
+
+Result<std::unique_ptr<RouterProcess>, RouterError> RouterProcess::create(const RouterSettings& settings,
+    const PacketFormat& format, const ReadinessApi& api, Epoch epoch, EventLoop& loop)
+{
+    std::unique_ptr<RouterProcess> process { new RouterProcess { settings, format, epoch, loop } };
+    if (const auto error = process->start(api))
+        return *error;
+    return process;
+}
+
+RouterProcess::RouterProcess(const RouterSettings& settings, const PacketFormat& format, Epoch epoch, EventLoop& loop)
+    : settings { settings }
+    , format { &format }
+    , loop { &loop }
+    , sealer { settings.cluster.key, settings.cluster.id, settings.instance, epoch }
+    , router { routerSettingsOf(settings, epoch) }
+    , feed { feedSettings(), settings.member.seedIds() }
+{
+    for (const auto& row : routing::packetActionNames)
+        this->actionCounters[static_cast<std::size_t>(row.value)]
+            = &this->metrics.counter({ "zinnia_router_packets_total", "action", std::string { row.name } });
+    for (const auto& row : routing::routingReasonNames)
+        this->reasonCounters[static_cast<std::size_t>(row.value)]
+            = &this->metrics.counter({ "zinnia_router_reasons_total", "reason", std::string { row.name } });
+    this->malformed = &this->metrics.counter({ "zinnia_router_malformed_total" });
+    this->openings = &this->metrics.counter({ "zinnia_router_openings_total" });
+}
+
+RouterProcess::~RouterProcess()
+{
+    if (this->packets)
+        this->loop->unwatch(this->packets->descriptor());
+}
+
+std::optional<RouterError> RouterProcess::start(const ReadinessApi& api)
+{
+    const Endpoint feedAddress { this->settings.member.address, this->settings.member.ports.feed };
+    auto opened = FleetLink::create(*this->loop, feedAddress, this->settings.cluster, this->sealer,
+        [this](const wire::OpenedMessage& message, const Endpoint&) { this->receiveFeed(message); });
+    if (!opened)
+        return RouterError { "ports.feed", feedAddress, opened.error() };
+    this->link = std::move(opened.value());
+    auto socket = UdpSocket::bind(this->settings.packets);
+    if (!socket)
+        return RouterError { "listen.packets", this->settings.packets, socket.error() };
+    this->packets = std::make_unique<UdpSocket>(std::move(socket).value());
+    this->loop->watch(this->packets->descriptor(), true, false, [this](Readiness) { this->receivePackets(); });
+    auto listener = HttpListener::create(*this->loop, { .address = this->settings.readiness, .connections = 32 },
+        api([this] { return this->isReady(); }));
+    if (!listener)
+        return RouterError { "listen.readiness", this->settings.readiness, listener.error() };
+    this->readiness = std::move(listener.value());
+    if (this->settings.member.ports.metrics != 0) {
+        const Endpoint address { this->settings.member.address, this->settings.member.ports.metrics };
+        auto metricsListener = HttpListener::create(*this->loop, { .address = address, .connections = 8 },
+            [this](const HttpRequest&, const HttpResponder& respond) {
+                respond(HttpResponse::text(http_status::ok, this->metrics.prometheusText()));
+            });
+        if (!metricsListener)
+            return RouterError { "ports.metrics", address, metricsListener.error() };
+        this->metricsServer = std::move(metricsListener.value());
+    }
+    this->askControls();
+    this->everySecond();
+    return std::nullopt;
+}
+
+void RouterProcess::receivePackets()
+{
+    for (int batch = 0; batch < batchesEachTurn; ++batch) {
+        const auto datagrams = this->receiver.receive(this->packets->descriptor());
+        if (datagrams.empty())
+            break;
+        for (const ReceivedDatagram& datagram : datagrams)
+            this->handle(datagram.bytes);
+        this->sender.flush();
+    }
+}
+
+void RouterProcess::handle(BytesView bytes)
+{
+    const auto packet = this->format->parse(bytes);
+    if (!packet) {
+        this->malformed->add();
+        return;
+    }
+    const auto decision = this->router.route(*packet, this->loop->now());
+    this->actionCounters[static_cast<std::size_t>(decision.action)]->add();
+    this->reasonCounters[static_cast<std::size_t>(decision.reason)]->add();
+    if (packet->opens)
+        this->openings->add();
+    const int descriptor = this->packets->descriptor();
+    if (decision.action == routing::PacketAction::Forward) {
+        const auto& upstream = *decision.upstream;
+        const auto head = this->format->forwardHead(bytes, upstream.announced.number, upstream.token);
+        this->sender.add(descriptor, upstream.announced.address, BytesView { head.bytes.data(), head.size },
+            bytes.subspan(head.replaced));
+    } else if (decision.action == routing::PacketAction::Reset) {
+        const auto head = this->format->reset(*packet);
+        this->sender.add(descriptor, Endpoint { packet->caller.address, this->settings.packets.port },
+            BytesView { head.bytes.data(), head.size }, {});
+    }
+    if (decision.reason != routing::RoutingReason::None)
+        this->report(*packet, decision);
+}
+
+void RouterProcess::report(const routing::FlowPacket& packet, const routing::RoutingDecision& decision)
+{
+    Event event = Event::FlowReset;
+    if (decision.reason == routing::RoutingReason::CopyMoved)
+        event = Event::OpeningMoved;
+    else if (decision.action == routing::PacketAction::Drop)
+        event = Event::TokenUnknown;
+    else if (packet.opens)
+        event = Event::FlowRefused;
+    const auto number = decision.upstream != nullptr ? decision.upstream->announced.number.value : 0;
+    log(event, Field { "caller", packet.caller }, Field { "service", packet.service },
+        Field { "reason", decision.reason }, Field { "token", packet.token }, Field { "upstream", number },
+        Field { "revision", this->router.state().revision });
+}
+
+void RouterProcess::receiveFeed(const wire::OpenedMessage& message)
+{
+    if (message.kind != wire::MessageKind::FeedReply)
+        return;
+    const auto reply = wire::decode<feed::FeedReply>(message.body);
+    if (!reply) {
+        log(Event::MessageRefused, Field { "reason", RefusalReason::Malformed });
+        return;
+    }
+    const TimePoint now = this->loop->now();
+    const feed::FeedReply& news = reply.value();
+    if (news.state && this->router.adopt(*news.state, now))
+        log(Event::RoutesAdopted, Field { "revision", news.state->revision }, Field { "version", news.state->version },
+            Field { "routes", news.state->routes.size() },
+            Field { "withdrawn_zones", news.state->withdrawnZones.size() }, Field { "control", message.sender });
+    this->router.merge(news.announcements, now);
+    if (const auto more = this->feed.receive(message.sender, news, this->router.state().revision, now))
+        this->link->send(more->control, wire::MessageKind::FeedRequest, more->request);
+    if (!this->wasReady && this->isReady()) {
+        this->wasReady = true;
+        log(Event::RouterReady, Field { "revision", this->router.state().revision },
+            Field { "upstreams", this->router.directory().size() });
+    }
+}
+
+void RouterProcess::askControls()
+{
+    this->loop->schedule(feedTick, [this] { this->askControls(); });
+    const TimePoint now = this->loop->now();
+    for (const auto& request : this->feed.tick(this->router.state().revision, now))
+        this->link->send(request.control, wire::MessageKind::FeedRequest, request.request);
+    const bool touched = this->feed.isInTouch(now);
+    if (touched != std::exchange(this->inTouch, touched))
+        log(touched ? Event::ControlRegained : Event::ControlLost,
+            Field { "controls", this->feed.knownControls() });
+}
+
+void RouterProcess::everySecond()
+{
+    this->loop->schedule(expiryInterval, [this] { this->everySecond(); });
+    this->router.expire(this->loop->now());
+    this->metrics.gauge({ "zinnia_router_flows" }).set(static_cast<double>(this->router.flowCount()));
+    this->metrics.gauge({ "zinnia_router_upstreams" }).set(static_cast<double>(this->router.directory().size()));
+    this->metrics.gauge({ "zinnia_router_revision" }).set(static_cast<double>(this->router.state().revision));
+    this->metrics.gauge({ "zinnia_router_in_touch" }).set(this->inTouch ? 1 : 0);
+}
+
+bool RouterProcess::isReady() const { return !this->stopping && this->feed.isComplete(); }
+
+void RouterProcess::reload(const RouterSettings& changed)
+{
+    this->feed.setSeeds(changed.member.seedIds());
+    log(Event::SettingsReloaded, Field { "seeds", changed.member.seeds.size() });
+}
+
+void RouterProcess::stop()
+{
+    if (std::exchange(this->stopping, true))
+        return;
+    this->loop->schedule(this->settings.stopDelay, [this] { this->loop->stop(); });
+}
+
+} // namespace zinnia::runtime
--- /dev/null
+++ b/src/zinnia/runtime/router_process.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "zinnia/feed/feed_client.hpp"
+#include "zinnia/routing/flow_router.hpp"
+#include "zinnia/runtime/datagram_batch.hpp"
+#include "zinnia/runtime/event_loop.hpp"
+#include "zinnia/runtime/fleet_link.hpp"
+#include "zinnia/runtime/http_listener.hpp"
+#include "zinnia/runtime/metrics.hpp"
+#include "zinnia/runtime/packet_format.hpp"
+#include "zinnia/runtime/router_settings.hpp"
+#include "zinnia/runtime/udp_socket.hpp"
+
+#include <array>
+#include <memory>
+
+namespace zinnia::runtime {
+
+/** @brief An address of the settings that a router could not open. */
+struct RouterError {
+    /** Key of the settings. */
+    std::string_view key;
+    Endpoint address;
+    SocketError cause {};
+};
+
+/** @brief Makes the handler of the readiness call from the current state. */
+using ReadinessApi = std::function<HttpRequestHandler(std::function<bool()> isReady)>;
+
+/** @brief One router: receives packets of callers and sends them to upstreams, as `routing::FlowRouter` decides. */
+class RouterProcess {
+public:
+    /** @param format, loop Have to outlive the process. */
+    [[nodiscard]] static Result<std::unique_ptr<RouterProcess>, RouterError> create(const RouterSettings& settings,
+        const PacketFormat& format, const ReadinessApi& api, Epoch epoch, EventLoop& loop);
+    ~RouterProcess();
+    RouterProcess(const RouterProcess&) = delete;
+    RouterProcess& operator=(const RouterProcess&) = delete;
+
+    /** @brief Applies settings that were read again: the seeds. */
+    void reload(const RouterSettings& changed);
+    /** @brief Answers "not ready", sends packets on for the stop delay, and stops the loop. */
+    void stop();
+
+private:
+    RouterProcess(const RouterSettings& settings, const PacketFormat& format, Epoch epoch, EventLoop& loop);
+
+    [[nodiscard]] std::optional<RouterError> start(const ReadinessApi& api);
+    void receivePackets();
+    void handle(BytesView bytes);
+    void report(const routing::FlowPacket& packet, const routing::RoutingDecision& decision);
+    void receiveFeed(const wire::OpenedMessage& message);
+    void askControls();
+    void everySecond();
+    [[nodiscard]] bool isReady() const;
+
+    RouterSettings settings;
+    const PacketFormat* format;
+    EventLoop* loop;
+    MetricsRegistry metrics;
+    wire::Sealer sealer;
+    routing::FlowRouter router;
+    feed::FeedClient feed;
+    std::unique_ptr<UdpSocket> packets;
+    DatagramReceiver receiver;
+    DatagramSender sender;
+    std::unique_ptr<FleetLink> link;
+    std::unique_ptr<HttpListener> readiness;
+    std::unique_ptr<HttpListener> metricsServer;
+    std::array<Counter*, routing::packetActionNames.size()> actionCounters {};
+    std::array<Counter*, routing::routingReasonNames.size()> reasonCounters {};
+    Counter* malformed {};
+    Counter* openings {};
+    bool stopping {};
+    bool wasReady {};
+    bool inTouch {};
+};
+
+} // namespace zinnia::runtime
--- /dev/null
+++ b/src/zinnia/runtime/router_settings.cpp
@@ -0,0 +1,21 @@
+#include "zinnia/runtime/router_settings.hpp"
+
+namespace zinnia::runtime {
+
+RouterSettings readRouterSettings(TableReader& root)
+{
+    RouterSettings settings;
+    settings.member = readFleetMember(root);
+    settings.instance = settings.member.id();
+    settings.cluster = readClusterSettings(root);
+    TableReader listen = root.table("listen");
+    settings.packets = listen.endpoint("packets");
+    settings.readiness = listen.endpoint("readiness");
+    TableReader stop = root.table("stop", true);
+    settings.stopDelay
+        = stop.milliseconds("delay_ms", { Milliseconds { 0 }, Milliseconds { 60000 } }, settings.stopDelay);
+    settings.log = readLogSettings(root);
+    return settings;
+}
+
+} // namespace zinnia::runtime
--- a/src/zinnia/runtime/stop_signals.cpp
+++ b/src/zinnia/runtime/stop_signals.cpp
@@ -6,7 +6,7 @@
 
 namespace zinnia::runtime {
 
-StopSignals::StopSignals(Poller& poller, std::function<void()> callback)
+StopSignals::StopSignals(Poller& poller, std::function<void()> callback, std::function<void()> reload)
     : poller { &poller }
     , descriptor { -1 }
 {
@@ -14,16 +14,23 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    if (reload)
+        sigaddset(&signals, SIGHUP);
     // Threads that start later inherit the mask, so that the signals reach only the descriptor.
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     this->descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
     if (this->descriptor < 0)
         return;
-    poller.watch(this->descriptor, true, false, [fd = this->descriptor, callback = std::move(callback)](auto) {
-        signalfd_siginfo info {};
-        while (read(fd, &info, sizeof(info)) == sizeof(info))
-            callback();
-    });
+    poller.watch(this->descriptor, true, false,
+        [fd = this->descriptor, callback = std::move(callback), reload = std::move(reload)](auto) {
+            signalfd_siginfo info {};
+            while (read(fd, &info, sizeof(info)) == sizeof(info)) {
+                if (info.ssi_signo == SIGHUP)
+                    reload();
+                else
+                    callback();
+            }
+        });
 }
 
 StopSignals::~StopSignals()
--- a/src/zinnia/runtime/stop_signals.hpp
+++ b/src/zinnia/runtime/stop_signals.hpp
@@ -9,8 +9,11 @@
 /** @brief Calls back on the loop thread for SIGTERM and SIGINT. Create it before any other thread starts. */
 class StopSignals {
 public:
-    /** @param poller Has to outlive this object. */
-    StopSignals(Poller& poller, std::function<void()> callback);
+    /**
+     * @param poller Has to outlive this object.
+     * @param reload Called for SIGHUP, if given.
+     */
+    StopSignals(Poller& poller, std::function<void()> callback, std::function<void()> reload = {});
     ~StopSignals();
     StopSignals(const StopSignals&) = delete;
     StopSignals& operator=(const StopSignals&) = delete;
--- /dev/null
+++ b/src/zinnia/upstream/announcement.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "zinnia/core/endpoint.hpp"
+#include "zinnia/core/ids.hpp"
+#include "zinnia/core/name_table.hpp"
+#include "zinnia/core/strong_id.hpp"
+#include "zinnia/core/time.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <limits>
+#include <string>
+
+namespace zinnia::upstream {
+
+/** @brief The number by which an upstream recognises datagrams that are meant for it. */
+using UpstreamNumber = StrongId<struct UpstreamNumberTag, std::uint64_t>;
+
+/** @brief What an upstream says of itself, or what is concluded from its silence. */
+enum class AnnouncedState : std::uint8_t { Ready, Draining, Gone, Silent };
+
+inline constexpr NameTable<AnnouncedState, 4> announcedStateNames { {
+    { AnnouncedState::Ready, "ready" },
+    { AnnouncedState::Draining, "draining" },
+    { AnnouncedState::Gone, "gone" },
+    { AnnouncedState::Silent, "silent" },
+} };
+static_assert(isDense(announcedStateNames));
+
+[[nodiscard]] constexpr std::string_view nameOf(AnnouncedState state) noexcept
+{
+    return nameIn(announcedStateNames, state);
+}
+
+/** @brief Position of an announcement: a later start of the upstream comes first, then its sequence number. */
+struct AnnouncementOrder {
+    /** Start of the upstream process by its own wall clock. Unit: milliseconds since 1970. */
+    std::uint64_t startedAt {};
+    /** Grows with each announcement of one start. */
+    std::uint64_t sequence {};
+
+    /** The last announcement of a start: nothing follows a departure. */
+    static constexpr std::uint64_t departure = std::numeric_limits<std::uint64_t>::max();
+
+    [[nodiscard]] friend constexpr auto operator<=>(const AnnouncementOrder&, const AnnouncementOrder&) = default;
+
+    template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
+    {
+        visit(self.startedAt, self.sequence);
+    }
+};
+
+/** @brief One announcement of an upstream. Times are durations, as the clocks of instances differ. */
+struct Announcement {
+    UpstreamNumber number;
+    std::string service;
+    Endpoint address;
+    std::string zone;
+    /** Requests that it works on at a time. */
+    std::uint32_t slots {};
+    AnnouncedState state {};
+    /** Time until it can take full load. */
+    Milliseconds coldLeft {};
+    AnnouncementOrder order;
+
+    template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
+    {
+        visit(self.number, self.service, self.address, self.zone, self.slots, self.state, self.coldLeft, self.order);
+    }
+    [[nodiscard]] friend bool operator==(const Announcement&, const Announcement&) = default;
+};
+
+} // namespace zinnia::upstream
--- /dev/null
+++ b/src/zinnia/upstream/announcement_board.cpp
@@ -0,0 +1,137 @@
+#include "zinnia/upstream/announcement_board.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace zinnia::upstream {
+
+namespace {
+
+    /** Differences of the end of a cold start below this come from the path of the announcement. */
+    constexpr Milliseconds coldTolerance { 300 };
+
+    Milliseconds millisecondsBetween(TimePoint from, TimePoint to)
+    {
+        return std::chrono::duration_cast<Milliseconds>(std::max(to - from, Microseconds { 0 }));
+    }
+
+    bool saysTheSame(const Announcement& left, const Announcement& right)
+    {
+        return left.service == right.service && left.address == right.address && left.zone == right.zone
+            && left.slots == right.slots && left.state == right.state
+            && left.order.startedAt == right.order.startedAt;
+    }
+
+} // namespace
+
+BoardOutcome AnnouncementBoard::observe(const Announcement& announcement, Milliseconds age, TimePoint now)
+{
+    const auto [found, isNew] = this->entries.try_emplace(announcement.number);
+    Entry& entry = found->second;
+    if (!isNew && announcement.order <= entry.announcement.order) {
+        // The conclusion that an upstream is silent has the order of its last announcement.
+        const bool concludes = announcement.state == AnnouncedState::Silent
+            && entry.announcement.state != AnnouncedState::Silent
+            && announcement.order == entry.announcement.order;
+        if (!concludes)
+            return BoardOutcome::Stale;
+    }
+    const TimePoint announcedAt = now - age;
+    const TimePoint coldUntil = announcedAt + announcement.coldLeft;
+    const bool coldChanged = coldUntil > entry.coldUntil + coldTolerance && coldUntil > now;
+    const bool changed = isNew || coldChanged || !saysTheSame(entry.announcement, announcement);
+    entry.announcement = announcement;
+    entry.announcedAt = announcedAt;
+    entry.fresh = true;
+    if (changed)
+        entry.coldUntil = coldUntil;
+    if (changed)
+        entry.change = ++this->changes;
+    return changed ? BoardOutcome::Changed : BoardOutcome::Renewed;
+}
+
+BoardOutcome AnnouncementBoard::depart(UpstreamNumber number, TimePoint now)
+{
+    const auto found = this->entries.find(number);
+    if (found == this->entries.end())
+        return BoardOutcome::Stale;
+    Announcement last = found->second.announcement;
+    last.state = AnnouncedState::Gone;
+    last.order.sequence = AnnouncementOrder::departure;
+    return this->observe(last, Milliseconds { 0 }, now);
+}
+
+std::vector<UpstreamNumber> AnnouncementBoard::expire(bool trusted, TimePoint now)
+{
+    std::vector<UpstreamNumber> silent;
+    for (auto& [number, entry] : this->entries) {
+        const AnnouncedState state = entry.announcement.state;
+        const bool isLive = state == AnnouncedState::Ready || state == AnnouncedState::Draining;
+        if (!trusted || !isLive || now - entry.announcedAt < this->settings.lease)
+            continue;
+        entry.announcement.state = AnnouncedState::Silent;
+        entry.fresh = true;
+        entry.change = ++this->changes;
+        silent.push_back(number);
+    }
+    std::erase_if(this->entries, [&](const auto& item) {
+        const AnnouncedState state = item.second.announcement.state;
+        const bool isOver = state == AnnouncedState::Gone || state == AnnouncedState::Silent;
+        return isOver && now - item.second.announcedAt > this->settings.retention;
+    });
+    return silent;
+}
+
+AgedAnnouncement AnnouncementBoard::aged(const Entry& entry, TimePoint now)
+{
+    AgedAnnouncement result { entry.announcement, millisecondsBetween(entry.announcedAt, now) };
+    // Relative to the announcement, as the reader subtracts the age again.
+    result.announcement.coldLeft = millisecondsBetween(entry.announcedAt, entry.coldUntil);
+    return result;
+}
+
+std::vector<AgedAnnouncement> AnnouncementBoard::takeFresh(TimePoint now)
+{
+    std::vector<AgedAnnouncement> result;
+    for (auto& [number, entry] : this->entries) {
+        if (std::exchange(entry.fresh, false))
+            result.push_back(aged(entry, now));
+    }
+    return result;
+}
+
+std::vector<AgedAnnouncement> AnnouncementBoard::all(TimePoint now) const
+{
+    std::vector<AgedAnnouncement> result;
+    result.reserve(this->entries.size());
+    for (const auto& [number, entry] : this->entries)
+        result.push_back(aged(entry, now));
+    return result;
+}
+
+std::vector<AgedAnnouncement> AnnouncementBoard::changedSince(
+    std::uint64_t since, std::size_t limit, std::uint64_t& reached, TimePoint now) const
+{
+    std::vector<const Entry*> changed;
+    for (const auto& [number, entry] : this->entries) {
+        if (entry.change > since)
+            changed.push_back(&entry);
+    }
+    std::sort(changed.begin(), changed.end(), [](const Entry* a, const Entry* b) { return a->change < b->change; });
+    reached = changed.size() > limit ? changed[limit - 1]->change : this->changes;
+    if (changed.size() > limit)
+        changed.resize(limit);
+    std::vector<AgedAnnouncement> result;
+    result.reserve(changed.size());
+    for (const Entry* entry : changed)
+        result.push_back(aged(*entry, now));
+    return result;
+}
+
+const Announcement* AnnouncementBoard::find(UpstreamNumber number) const
+{
+    const auto found = this->entries.find(number);
+    return found == this->entries.end() ? nullptr : &found->second.announcement;
+}
+
+} // namespace zinnia::upstream
--- a/src/zinnia/wire/envelope.cpp
+++ b/src/zinnia/wire/envelope.cpp
@@ -53,9 +53,10 @@
     return message;
 }
 
-Opener::Opener(const ClusterKey& key, ClusterId cluster)
+Opener::Opener(const ClusterKey& key, ClusterId cluster, bool checkReplay)
     : key { key }
     , cluster { cluster }
+    , checkReplay { checkReplay }
 {
 }
 
@@ -76,7 +77,7 @@
     message.sequence = takeNumber<std::uint64_t>(bytes);
     message.kind = static_cast<MessageKind>(takeNumber<std::uint8_t>(bytes));
     message.body = bytes;
-    if (!this->admit(message.sender, message.epoch, message.sequence))
+    if (this->checkReplay && !this->admit(message.sender, message.epoch, message.sequence))
         return RefusalReason::Replayed;
     return message;
 }
--- a/src/zinnia/wire/envelope.hpp
+++ b/src/zinnia/wire/envelope.hpp
@@ -34,6 +34,10 @@
     ConfigPoll = 20,
     ConfigReply = 21,
     Consensus = 30,
+    FeedRequest = 40,
+    FeedReply = 41,
+    Gossip = 42,
+    GossipAck = 43,
 };
 
 /** @brief Largest message between entry instances: one UDP datagram. Unit: bytes. */
@@ -76,7 +80,11 @@
  */
 class Opener {
 public:
-    Opener(const ClusterKey& key, ClusterId cluster);
+    /**
+     * @param checkReplay False accepts repeated messages and older epochs, for messages that are merged by their own
+     *        order. Epochs come from the wall clock, which may be set back while a process is restarted.
+     */
+    Opener(const ClusterKey& key, ClusterId cluster, bool checkReplay = true);
 
     /** @return The message, or BadTag, WrongCluster, Replayed, Malformed or Oversized. */
     [[nodiscard]] Result<OpenedMessage, RefusalReason> open(BytesView bytes);
@@ -95,6 +103,7 @@
 
     ClusterKey key;
     ClusterId cluster;
+    bool checkReplay;
     std::unordered_map<InstanceId, Window> windows;
 };
 
