runtime: read settings again on SIGHUP and file changes, end without joining log threads

Cause: routers that were stopped hung after ProcessStopped until they were killed at the end of the grace time: the logging library joins its threads at exit. SIGHUP ended processes with code 129.

--- a/src/programs/zinnia-router/main.cpp
+++ b/src/programs/zinnia-router/main.cpp
@@ -3,12 +3,14 @@
 #include "zinnia/runtime/router_process.hpp"
 #include "zinnia/runtime/run_daemon.hpp"
 
+#include <cstdlib>
+
 namespace {
 
 using namespace zinnia;
 using namespace zinnia::runtime;
 
-int runRouter(const RouterSettings& settings)
+int runRouter(const RouterSettings& settings, const std::string& file)
 {
     const platform::PacketCodec format;
     return runProcess(
@@ -19,14 +21,16 @@
         [](const RouterError& error) {
             log(Event::ListenFailed, Field { "key", error.key }, Field { "address", error.address },
                 Field { "cause", error.cause });
-        });
+        },
+        ReloadSettings<RouterSettings> { file, &readRouterSettings });
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    return runProgram<RouterSettings>(
+    // Without the destructors of static objects: joining the threads of the logging library can take seconds.
+    std::_Exit(runProgram<RouterSettings>(
         { "zinnia-router", "Receives packets of callers and sends them to upstreams by their routing token." }, argc,
-        argv, &readRouterSettings, &runRouter);
+        argv, &readRouterSettings, &runRouter));
 }
--- a/src/zinnia/runtime/command_line.hpp
+++ b/src/zinnia/runtime/command_line.hpp
@@ -57,11 +57,11 @@
 /**
  * @brief The `main` of a program with the shared options only.
  * @param read Reads the settings from the root table.
- * @param run Runs the program and returns its exit code.
+ * @param run Runs the program with the settings and the path of their file, and returns its exit code.
  */
 template <class T>
 [[nodiscard]] int runProgram(const ProgramDescription& description, int argc, const char* const* argv,
-    T (*read)(TableReader&), const std::function<int(const T&)>& run)
+    T (*read)(TableReader&), const std::function<int(const T&, const std::string& file)>& run)
 {
     CommandLineParser parser { description };
     const auto line = parser.parse({ argv + 1, argv + argc });
@@ -76,7 +76,17 @@
         std::cout << line.value().configFile << ": ok\n";
         return exit_code::done;
     }
-    return run(settings.value());
+    return run(settings.value(), line.value().configFile);
+}
+
+/** @brief As above, for a program that does not read its settings again. */
+template <class T>
+[[nodiscard]] int runProgram(const ProgramDescription& description, int argc, const char* const* argv,
+    T (*read)(TableReader&), int (*run)(const T&))
+{
+    const std::function<int(const T&, const std::string&)> withFile
+        = [run](const T& settings, const std::string&) { return run(settings); };
+    return runProgram<T>(description, argc, argv, read, withFile);
 }
 
 } // namespace zinnia::runtime
--- a/src/zinnia/runtime/run_daemon.hpp
+++ b/src/zinnia/runtime/run_daemon.hpp
@@ -4,26 +4,44 @@
 #include "zinnia/runtime/event_loop.hpp"
 #include "zinnia/runtime/logger.hpp"
 #include "zinnia/runtime/process_start.hpp"
+#include "zinnia/runtime/settings_watch.hpp"
 #include "zinnia/runtime/steady_clock.hpp"
 #include "zinnia/runtime/stop_signals.hpp"
 
-#include <cstddef>
 #include <functional>
-#include <type_traits>
+#include <optional>
+#include <string>
 
 namespace zinnia::runtime {
 
+/** @brief A process that keeps the settings of its start. */
+struct NoReload {
+    template <class Process> void operator()(Process&) const { }
+    /** Empty: the file is not watched. */
+    std::string file;
+};
+
 /**
- * @brief Runs a process until a signal has stopped it.
- * @param settings Has the fields `log` and `instance`.
- * @param make Creates the process on a loop; the process has `stop()`, which stops the loop once it is done.
- * @param logError Logs why the process could not be created.
- * @param reload Called with the process when SIGHUP asks for the settings to be read again; may be empty.
- * @return The exit code.
+ * @brief Reads the settings again and gives good ones to the process. A file with errors changes nothing.
+ * @tparam Settings What `read` returns; the process has `reload(const Settings&)`.
  */
-template <class Settings, class Make, class LogError, class Reload = std::nullptr_t>
-[[nodiscard]] int runProcess(
-    const Settings& settings, const Make& make, const LogError& logError, const Reload& reload = nullptr)
+template <class Settings> struct ReloadSettings {
+    std::string file;
+    Settings (*read)(TableReader&);
+
+    template <class Process> void operator()(Process& process) const
+    {
+        const auto settings = loadSettings(this->file, this->read);
+        if (settings)
+            return process.reload(settings.value());
+        for (const SettingsError& error : settings.error())
+            log(Event::SettingsRejected, Field { "error", error });
+    }
+};
+
+/** @brief As `runProcess` below, for a process whose settings are read again on SIGHUP and when the file changes. */
+template <class Settings, class Make, class LogError, class Reload>
+[[nodiscard]] int runProcess(const Settings& settings, const Make& make, const LogError& logError, const Reload& reload)
 {
     if (!startLog(settings.log))
         return exit_code::failed;
@@ -34,11 +52,8 @@
     EventLoop& running = *loop.value();
     std::function<void()> stop = [&running] { running.stop(); };
     std::function<void()> readAgain = [] {};
-    std::function<void()> onHangup;
-    if constexpr (!std::is_same_v<Reload, std::nullptr_t>)
-        onHangup = [&readAgain] { readAgain(); };
     // Before the process starts threads, which inherit the signal mask.
-    const StopSignals signals { running, [&stop] { stop(); }, onHangup };
+    const StopSignals signals { running, [&stop] { stop(); }, [&readAgain] { readAgain(); } };
     auto process = make(epochOfThisStart(), running);
     if (!process) {
         logError(process.error());
@@ -48,14 +63,29 @@
         log(Event::ProcessStopping);
         process.value()->stop();
     };
-    if constexpr (!std::is_same_v<Reload, std::nullptr_t>)
-        readAgain = [&process, &reload] { reload(*process.value()); };
+    readAgain = [&process, &reload] { reload(*process.value()); };
+    std::optional<SettingsWatch> watch;
+    if (!reload.file.empty())
+        watch.emplace(running, reload.file, readAgain);
     log(Event::ProcessStarted, Field { "instance", settings.instance });
     running.run();
     log(Event::ProcessStopped);
     return exit_code::done;
 }
 
+/**
+ * @brief Runs a process until a signal has stopped it.
+ * @param settings Has the fields `log` and `instance`.
+ * @param make Creates the process on a loop; the process has `stop()`, which stops the loop once it is done.
+ * @param logError Logs why the process could not be created.
+ * @return The exit code.
+ */
+template <class Settings, class Make, class LogError>
+[[nodiscard]] int runProcess(const Settings& settings, const Make& make, const LogError& logError)
+{
+    return runProcess(settings, make, logError, NoReload {});
+}
+
 /** @brief As `runProcess`, for a process that has `create(settings, epoch, loop)`. */
 template <class Process, class Settings, class LogError>
 [[nodiscard]] int runDaemon(const Settings& settings, const LogError& logError)
--- /dev/null
+++ b/src/zinnia/runtime/settings_watch.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "zinnia/runtime/poller.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace zinnia::runtime {
+
+/** @brief Calls back when a settings file was changed or replaced, which is looked for once a second. */
+class SettingsWatch {
+public:
+    /** @param poller Has to outlive this object. */
+    SettingsWatch(Poller& poller, std::string file, std::function<void()> changed);
+    ~SettingsWatch();
+    SettingsWatch(const SettingsWatch&) = delete;
+    SettingsWatch& operator=(const SettingsWatch&) = delete;
+
+private:
+    /** @brief What differs when a file was written or replaced. */
+    struct Stamp {
+        std::int64_t seconds {};
+        std::int64_t nanoseconds {};
+        std::int64_t size {};
+        std::uint64_t node {};
+
+        [[nodiscard]] friend bool operator==(const Stamp&, const Stamp&) = default;
+    };
+
+    [[nodiscard]] Stamp stampOfFile() const;
+    void look();
+
+    Poller* poller;
+    std::string file;
+    std::function<void()> changed;
+    Stamp last;
+    TimerId timer;
+};
+
+} // namespace zinnia::runtime
