--- a/src/programs/zinnia-fleet/main.cpp
+++ b/src/programs/zinnia-fleet/main.cpp
@@ -16,7 +16,9 @@
         [&](Epoch epoch, EventLoop& loop) {
             return FleetProcess::create(settings, &platform::controlCalls, epoch, loop);
         },
-        [](FleetError error) { log(Event::ControlNotStarted, Field { "cause", error }); },
+        [](FleetError error) {
+            log(Event::ControlNotStarted, Field { "cause", error });
+        },
         ReloadSettings<FleetSettings> { file, &readFleetSettings });
 }
 
@@ -26,6 +28,6 @@
 {
     // Without the destructors of static objects: joining the threads of the logging library can take seconds.
     std::_Exit(runProgram<FleetSettings>(
-        { "zinnia-fleet", "Keeps routes, withdrawn zones and announcements of upstreams for the routers." }, argc,
-        argv, &readFleetSettings, &runFleet));
+        { "zinnia-fleet", "Keeps routes, withdrawn zones and announcements of upstreams for the routers." }, argc, argv,
+        &readFleetSettings, &runFleet));
 }
--- a/src/zinnia/consensus/election.cpp
+++ b/src/zinnia/consensus/election.cpp
@@ -38,8 +38,12 @@
 
 void Replica::resetElection()
 {
-    const auto shortest = Microseconds { this->settings.shortestElection };
-    const auto range = Microseconds { this->settings.longestElection } - shortest;
+    const double share = this->hasKnownLeader ? 1.0 : this->settings.firstElections;
+    const auto scaled = [share](Milliseconds full) {
+        return std::chrono::duration_cast<Microseconds>(share * std::chrono::duration<double, std::milli> { full });
+    };
+    const Microseconds shortest = scaled(this->settings.shortestElection);
+    const Microseconds range = scaled(this->settings.longestElection) - shortest;
     std::uniform_int_distribution<std::int64_t> spread { 0, range.count() };
     this->electionDue = this->now + shortest + Microseconds { spread(this->random) };
 }
@@ -82,6 +86,7 @@
 void Replica::becomeLeader()
 {
     this->role = Role::Leader;
+    this->hasKnownLeader = true;
     this->leader = this->hard.self;
     this->report(zinnia::Event::LeaderElected, this->hard.self);
     this->progress.clear();
--- a/src/zinnia/consensus/replica.cpp
+++ b/src/zinnia/consensus/replica.cpp
@@ -140,7 +140,8 @@
         return;
     }
     // A voter that was replaced while it was away learns it from the records that a learner is sent.
-    const bool isLeftOut = this->isDynamic() && this->now - this->lastLeaderContact > leftOutElections * Microseconds { this->settings.longestElection };
+    const bool isLeftOut = this->isDynamic()
+        && this->now - this->lastLeaderContact > leftOutElections * Microseconds { this->settings.longestElection };
     if (!this->mayVote() || isLeftOut)
         this->sayHello();
     if (this->mayVote() && this->now >= this->electionDue)
--- a/src/zinnia/consensus/replica.hpp
+++ b/src/zinnia/consensus/replica.hpp
@@ -165,6 +165,8 @@
     TimePoint heartbeatDue;
     TimePoint helloDue;
     bool campaigning {};
+    /** Whether a leader was known since the start. */
+    bool hasKnownLeader {};
     bool stopping {};
     std::set<ReplicaId> votes;
 
--- a/src/zinnia/consensus/replication.cpp
+++ b/src/zinnia/consensus/replication.cpp
@@ -55,6 +55,7 @@
         this->hardDirty = true;
     }
     this->becomeFollower(header.term, header.from);
+    this->hasKnownLeader = true;
     this->lastLeaderContact = this->now;
     this->resetElection();
     return true;
--- a/src/zinnia/consensus/settings.hpp
+++ b/src/zinnia/consensus/settings.hpp
@@ -44,6 +44,11 @@
     Milliseconds heartbeatInterval { 100 };
     Milliseconds shortestElection { 500 };
     Milliseconds longestElection { 1000 };
+    /**
+     * Election timeouts until a leader is first known, as a share of the usual ones: after a restart of the whole group
+     * nobody has a leader to be patient with. A single replica that restarts is held back by the pre-vote.
+     */
+    double firstElections = 1.0;
     /** Equals the longest election timeout. */
     Milliseconds quorumTimeout { 1000 };
     /** Interval of a learner's `Hello`; a learner that is silent for 10 of them is forgotten. */
--- a/src/zinnia/feed/feed_client.cpp
+++ b/src/zinnia/feed/feed_client.cpp
@@ -44,8 +44,9 @@
     }
     // Until enough control instances answer, the others are tried at a lower rate.
     if (sources.size() < this->settings.sources) {
+        const Milliseconds retry = sources.empty() ? this->settings.eagerRetry : this->settings.retry;
         for (auto& [id, control] : this->controls) {
-            if (!this->answers(control, now) && now - control.askedAt >= this->settings.retry)
+            if (!this->answers(control, now) && now - control.askedAt >= retry)
                 requests.push_back(this->ask(id, control, revision, now));
         }
     }
--- a/src/zinnia/feed/feed_client.hpp
+++ b/src/zinnia/feed/feed_client.hpp
@@ -14,8 +14,10 @@
     Milliseconds interval { 150 };
     /** A control instance that has not answered for this long is asked less often. */
     Milliseconds silence { 1500 };
-    /** Interval of the requests to a control instance that does not answer. */
+    /** Interval of the requests to a control instance that does not answer, while others do. */
     Milliseconds retry { 1000 };
+    /** The same while none answers: after a restart of the whole fleet each tenth of a second counts. */
+    Milliseconds eagerRetry { 100 };
     /** Control instances asked in turn; a few bound the traffic, and more than one bounds the age of the news. */
     std::size_t sources = 3;
     /** Age from which the news of all control instances together counts as out of touch. */
--- a/src/zinnia/feed/messages.hpp
+++ b/src/zinnia/feed/messages.hpp
@@ -85,6 +85,17 @@
     }
 };
 
+/** @brief What a control instance remembers for routers over a restart. */
+struct FeedMemory {
+    RoutingState state;
+    std::vector<upstream::AgedAnnouncement> announcements;
+
+    template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
+    {
+        visit(self.state, self.announcements);
+    }
+};
+
 /** @brief News between control instances. */
 struct Gossip {
     /** Not 0 if the receiver is to acknowledge. */
--- a/src/zinnia/routing/flow_router.cpp
+++ b/src/zinnia/routing/flow_router.cpp
@@ -87,8 +87,7 @@
         if (Upstream* first = this->upstreams.find(previous->token); first != nullptr) {
             if (first->answeredAt < previous->sentAt) {
                 const auto factor = std::min<std::uint32_t>(++first->unansweredOpenings, 4);
-                first->avoidUntil
-                    = now + std::min(this->settings.avoidance * factor, this->settings.longestAvoidance);
+                first->avoidUntil = now + std::min(this->settings.avoidance * factor, this->settings.longestAvoidance);
             }
         }
     }
@@ -261,8 +260,8 @@
     for (Upstream* upstream : this->upstreams.ofService(service)) {
         if (!this->isUsable(*upstream, now))
             continue;
-        const bool isTried = previous != nullptr
-            && (previous->token == upstream->token || previous->tried[0] == upstream->token);
+        const bool isTried
+            = previous != nullptr && (previous->token == upstream->token || previous->tried[0] == upstream->token);
         if (isTried || upstream->avoidUntil > now || upstream->announced.state == AnnouncedState::Silent)
             avoided.push_back(upstream);
         else if (upstream->announced.zone == this->settings.zone)
--- /dev/null
+++ b/src/zinnia/runtime/background_file.cpp
@@ -0,0 +1,102 @@
+#include "zinnia/runtime/background_file.hpp"
+
+#include "zinnia/core/hash.hpp"
+
+namespace zinnia::runtime {
+
+namespace {
+
+    /** A hash of the content comes first, so that a write that was cut off is noticed. Unit: bytes. */
+    constexpr std::size_t hashBytes = 8;
+
+    std::uint64_t hashOfContent(BytesView content)
+    {
+        return hashOfText(0, { reinterpret_cast<const char*>(content.data()), content.size() });
+    }
+
+} // namespace
+
+BackgroundFile::BackgroundFile(FileSystem& files, std::string name)
+    : files { &files }
+    , name { std::move(name) }
+{
+}
+
+BackgroundFile::~BackgroundFile()
+{
+    {
+        const std::lock_guard lock { this->mutex };
+        this->stopping = true;
+    }
+    this->changed.notify_one();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+std::optional<Bytes> BackgroundFile::read()
+{
+    auto file = this->files->open(this->name, OpenMode::Existing);
+    if (!file)
+        return std::nullopt;
+    const auto content = file.value()->readAll();
+    if (!content || content.value().size() < hashBytes)
+        return std::nullopt;
+    std::uint64_t expected = 0;
+    for (std::size_t i = 0; i < hashBytes; ++i)
+        expected = (expected << 8U) | content.value()[i];
+    const BytesView body = BytesView { content.value() }.subspan(hashBytes);
+    if (hashOfContent(body) != expected)
+        return std::nullopt;
+    return Bytes { body.begin(), body.end() };
+}
+
+void BackgroundFile::write(Bytes content)
+{
+    {
+        const std::lock_guard lock { this->mutex };
+        this->next = std::move(content);
+        if (!this->thread.joinable())
+            this->thread = std::thread { [this] { this->run(); } };
+    }
+    this->changed.notify_one();
+}
+
+void BackgroundFile::run()
+{
+    std::unique_lock lock { this->mutex };
+    while (true) {
+        this->changed.wait(lock, [this] { return this->next.has_value() || this->stopping; });
+        if (!this->next)
+            return;
+        const Bytes content = std::move(*this->next);
+        this->next.reset();
+        lock.unlock();
+        if (!this->store(content))
+            this->failureCount.fetch_add(1);
+        lock.lock();
+    }
+}
+
+bool BackgroundFile::store(const Bytes& content)
+{
+    Bytes bytes;
+    const std::uint64_t hash = hashOfContent(content);
+    for (std::size_t i = hashBytes; i > 0; --i)
+        bytes.push_back(static_cast<std::uint8_t>(hash >> (8 * (i - 1))));
+    bytes.insert(bytes.end(), content.begin(), content.end());
+    const std::string temporary = this->name + ".tmp";
+    auto file = this->files->open(temporary, OpenMode::Replace);
+    if (!file)
+        return false;
+    BytesView rest { bytes };
+    while (!rest.empty()) {
+        const auto written = file.value()->append(rest);
+        if (!written || written.value() == 0)
+            return false;
+        rest = rest.subspan(written.value());
+    }
+    return file.value()->sync().has_value() && this->files->rename(temporary, this->name).has_value()
+        && this->files->syncFolder().has_value();
+}
+
+} // namespace zinnia::runtime
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -22,8 +22,14 @@
     constexpr Milliseconds leaderPatience { 2000 };
     /** A replica whose storage failed opens its folder again after this time. */
     constexpr Milliseconds storageRetry { 1000 };
+    /** After a restart of all replicas routers wait for an election: 100 to 200 ms in place of 500 to 1,000. */
+    constexpr double firstElections = 0.2;
     /** Announcements in one datagram. */
     constexpr std::size_t announcementsPerReply = 100;
+    /** File with what routers need after a restart of the whole fleet. */
+    const std::string memoryName = "memory";
+    /** Shortest time between two writes of it. */
+    constexpr Milliseconds rememberInterval { 500 };
     constexpr Milliseconds stopInterval { 50 };
     /** Unit: stop intervals; 2 s in all. */
     constexpr int longestStop = 40;
@@ -67,11 +73,13 @@
     if (!folder)
         return FleetError::Folder;
     this->files = std::move(folder.value());
+    this->recall();
     if (const auto error = this->startReplica())
         return error;
 
-    auto server = StreamServer::create(*this->loop, { this->settings.member.address, this->settings.member.ports.stream },
-        [this](BytesView sealed) { return this->answerStream(sealed); });
+    auto server
+        = StreamServer::create(*this->loop, { this->settings.member.address, this->settings.member.ports.stream },
+            [this](BytesView sealed) { return this->answerStream(sealed); });
     if (!server)
         return FleetError::StreamAddress;
     this->streams = std::move(server.value());
@@ -82,8 +90,8 @@
         return FleetError::FeedAddress;
     this->link = std::move(opened.value());
 
-    auto listener = HttpListener::create(
-        *this->loop, { .address = this->settings.http }, api(*this, this->settings.http.port));
+    auto listener
+        = HttpListener::create(*this->loop, { .address = this->settings.http }, api(*this, this->settings.http.port));
     if (!listener)
         return FleetError::HttpAddress;
     this->http = std::move(listener.value());
@@ -109,6 +117,7 @@
     driver.replica.self = this->settings.instance;
     driver.replica.bootstrap = this->settings.bootstrap;
     driver.replica.targetVoters = this->settings.voters;
+    driver.replica.firstElections = firstElections;
     driver.replica.founders = this->settings.member.seedIds();
     std::sort(driver.replica.founders.begin(), driver.replica.founders.end());
     driver.peers = this->replicaPeers();
@@ -123,8 +132,8 @@
         runtime::log(report.event, Field { "replica", report.other.instance }, Field { "term", report.term },
             Field { "index", report.index });
     };
-    auto created = ReplicaDriver::create(
-        *this->loop, *this->files, this->sealer, std::move(driver), std::move(application));
+    auto created
+        = ReplicaDriver::create(*this->loop, *this->files, this->sealer, std::move(driver), std::move(application));
     if (!created) {
         if (created.error().cause == ReplicaDriverError::Cause::Storage)
             runtime::log(Event::StorageFailed, Field { "cause", created.error().storage });
@@ -226,8 +235,8 @@
         && known->second.order.startedAt == current->order.startedAt)
         return done({ CallStatus::Done });
     const std::uint64_t ticket = this->nextShare++;
-    const TimerId timer = this->loop->schedule(
-        shareTimeout, [this, ticket] { this->finishShare(ticket, CallStatus::Unavailable); });
+    const TimerId timer
+        = this->loop->schedule(shareTimeout, [this, ticket] { this->finishShare(ticket, CallStatus::Unavailable); });
     this->shares.emplace(ticket, PendingShare { number, std::move(done), timer });
     const feed::Gossip message { ticket, this->epoch, this->roster.live(this->loop->now()),
         { { *current, Milliseconds { 0 } } } };
@@ -241,8 +250,7 @@
     if (share.empty())
         return;
     this->loop->cancel(share.mapped().timer);
-    if (const auto* current = this->board.find(share.mapped().number);
-        status == CallStatus::Done && current != nullptr)
+    if (const auto* current = this->board.find(share.mapped().number); status == CallStatus::Done && current != nullptr)
         this->confirmed.insert_or_assign(share.mapped().number, *current);
     share.mapped().done({ status });
 }
@@ -313,9 +321,9 @@
     feed::FeedReply reply;
     reply.number = message.number;
     reply.confirmed = this->hasLeader();
-    reply.revision = this->log.routing().revision;
+    reply.revision = this->routing().revision;
     if (message.revision < reply.revision)
-        reply.state = this->log.routing();
+        reply.state = this->routing();
     reply.board = this->epoch;
     const std::uint64_t since = message.board == this->epoch ? message.change : 0;
     reply.announcements = this->board.changedSince(since, announcementsPerReply, reply.change, now);
@@ -324,6 +332,44 @@
     this->link->reply(source, wire::MessageKind::FeedReply, reply);
 }
 
+void FleetProcess::recall()
+{
+    this->memoryFile = std::make_unique<BackgroundFile>(*this->files, memoryName);
+    const auto content = this->memoryFile->read();
+    if (!content)
+        return;
+    const auto memory = wire::decode<feed::FeedMemory>(*content);
+    if (!memory)
+        return;
+    this->remembered = memory.value().state;
+    const TimePoint now = this->loop->now();
+    // Each upstream gets a whole lease to announce itself again, wherever it was when this process stopped.
+    for (const auto& [announcement, age] : memory.value().announcements) {
+        if (announcement.state != upstream::AnnouncedState::Silent)
+            (void)this->board.observe(announcement, Milliseconds { 0 }, now);
+    }
+    runtime::log(Event::MemoryRecalled, Field { "revision", this->remembered.revision },
+        Field { "upstreams", this->board.size() });
+}
+
+void FleetProcess::remember(TimePoint now)
+{
+    const bool changed = this->rememberedChange != this->board.lastChange()
+        || this->remembered.revision < this->log.routing().revision;
+    if (!changed || now < this->rememberDue)
+        return;
+    this->rememberDue = now + rememberInterval;
+    this->rememberedChange = this->board.lastChange();
+    this->remembered = this->routing();
+    this->memoryFile->write(wire::encode(feed::FeedMemory { this->remembered, this->board.all(now) }));
+}
+
+const feed::RoutingState& FleetProcess::routing() const
+{
+    const feed::RoutingState& logged = this->log.routing();
+    return logged.revision < this->remembered.revision ? this->remembered : logged;
+}
+
 void FleetProcess::gossip()
 {
     this->loop->schedule(gossipInterval, [this] { this->gossip(); });
@@ -353,6 +399,7 @@
     std::erase_if(this->confirmed, [this](const auto& item) { return this->board.find(item.first) == nullptr; });
     if (this->roster.forgetOld(now))
         this->setPeers();
+    this->remember(now);
     this->restartReplica();
     if (!this->replica)
         return;
@@ -361,8 +408,7 @@
     this->metrics.gauge({ "zinnia_control_term" }).set(static_cast<double>(status.term));
     this->metrics.gauge({ "zinnia_control_commit_index" }).set(static_cast<double>(status.commit));
     this->metrics.gauge({ "zinnia_control_voters" }).set(static_cast<double>(status.voters.size()));
-    this->metrics.gauge({ "zinnia_routes_version" })
-        .set(static_cast<double>(this->log.state().routes().version.value));
+    this->metrics.gauge({ "zinnia_routes_version" }).set(static_cast<double>(this->log.state().routes().version.value));
     this->metrics.gauge({ "zinnia_upstreams_announced" }).set(static_cast<double>(this->board.size()));
 }
 
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "zinnia/feed/control_roster.hpp"
+#include "zinnia/runtime/background_file.hpp"
 #include "zinnia/runtime/event_loop.hpp"
 #include "zinnia/runtime/fleet_link.hpp"
 #include "zinnia/runtime/fleet_log.hpp"
@@ -82,6 +83,10 @@
     void share(upstream::UpstreamNumber number, CallDone done);
     void finishShare(std::uint64_t number, CallStatus status);
     void gossip();
+    void recall();
+    void remember(TimePoint now);
+    /** @return The newest committed state that is known: the log's, or the remembered one while the log is replayed. */
+    [[nodiscard]] const feed::RoutingState& routing() const;
     void refresh();
     void restartReplica();
     void setPeers();
@@ -96,6 +101,10 @@
     wire::Sealer sealer;
     wire::Opener opener;
     std::unique_ptr<FileSystem> files;
+    std::unique_ptr<BackgroundFile> memoryFile;
+    feed::RoutingState remembered;
+    std::uint64_t rememberedChange {};
+    TimePoint rememberDue;
     FleetLog log;
     std::unique_ptr<ReplicaDriver> replica;
     std::unique_ptr<StreamServer> streams;
--- a/src/zinnia/runtime/log_limiter.hpp
+++ b/src/zinnia/runtime/log_limiter.hpp
@@ -12,26 +12,29 @@
 
 /** @brief Lines of one warning event that are written in a second. */
 inline constexpr std::uint32_t warningsPerSecond = 50;
+/** @brief The same for an event of level info, which changes of the process's own state cause. */
+inline constexpr std::uint32_t infosPerSecond = 200;
 
 /**
- * @brief Bounds the lines of each warning event.
+ * @brief Bounds the lines of each warning and information event.
  *
  * Most warnings are caused by received packets, so an unbounded log would let any sender fill the disk.
- * Events of other levels are not bounded.
+ * Errors are not bounded.
  */
 class LogLimiter {
 public:
     /** @return Lines left out since the last written line, or nothing if this line is to be left out too. */
     [[nodiscard]] std::optional<std::uint64_t> admit(const EventRow& row, TimePoint now)
     {
-        if (row.level != LogLevel::Warning)
+        if (row.level == LogLevel::Error)
             return 0;
+        const std::uint32_t limit = row.level == LogLevel::Warning ? warningsPerSecond : infosPerSecond;
         State& state = this->states[static_cast<std::size_t>(&row - eventCatalogue.data())];
         if (now - state.windowStart >= Seconds { 1 }) {
             state.windowStart = now;
             state.written = 0;
         }
-        if (state.written >= warningsPerSecond) {
+        if (state.written >= limit) {
             ++state.leftOut;
             return std::nullopt;
         }
--- a/src/zinnia/runtime/log_settings.hpp
+++ b/src/zinnia/runtime/log_settings.hpp
@@ -7,20 +7,32 @@
 
 namespace zinnia::runtime {
 
+/** @brief A stream of the process. Lines to the standard output are dropped rather than waited for. */
+enum class LogStream : unsigned char { StandardError, StandardOutput };
+
+inline constexpr NameTable<LogStream, 2> logStreamNames { {
+    { LogStream::StandardError, "stderr" },
+    { LogStream::StandardOutput, "stdout" },
+} };
+static_assert(isDense(logStreamNames));
+
 /** @brief Where the log goes and from which level on. */
 struct LogSettings {
     LogLevel level = LogLevel::Info;
-    /** File that is appended to; empty for the standard error stream. */
+    /** File that is appended to; empty for a stream. */
     std::string file;
+    /** Where lines go without a file. */
+    LogStream stream = LogStream::StandardError;
 };
 
-/** @brief Reads the optional table "log" with the keys "level" and "file". */
+/** @brief Reads the optional table "log" with the keys "level", "file" and "stream". */
 [[nodiscard]] inline LogSettings readLogSettings(TableReader& root)
 {
     TableReader table = root.table("log", true);
     LogSettings settings;
     settings.level = table.choice("level", logLevelNames, std::optional { LogLevel::Info });
     settings.file = table.text("file", "");
+    settings.stream = table.choice("stream", logStreamNames, std::optional { LogStream::StandardError });
     return settings;
 }
 
--- a/src/zinnia/runtime/logger.cpp
+++ b/src/zinnia/runtime/logger.cpp
@@ -1,6 +1,7 @@
 #include "zinnia/runtime/logger.hpp"
 
 #include "zinnia/runtime/log_limiter.hpp"
+#include "zinnia/runtime/pipe_appender.hpp"
 
 #include <array>
 #include <fstream>
@@ -10,6 +11,7 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <mutex>
+#include <unistd.h>
 
 namespace zinnia::runtime {
 
@@ -124,9 +126,12 @@
 {
     const bool writable = settings.file.empty() || std::ofstream { settings.file, std::ios::app }.good();
     const bool toFile = writable && !settings.file.empty();
-    const log4cplus::SharedAppenderPtr appender = toFile
-        ? log4cplus::SharedAppenderPtr { new log4cplus::FileAppender { settings.file, std::ios_base::app, true } }
-        : standardError();
+    log4cplus::SharedAppenderPtr appender = standardError();
+    if (toFile)
+        appender
+            = log4cplus::SharedAppenderPtr { new log4cplus::FileAppender { settings.file, std::ios_base::app, true } };
+    else if (settings.stream == LogStream::StandardOutput)
+        appender = log4cplus::SharedAppenderPtr { new PipeAppender { STDOUT_FILENO } };
     useAppender(processLogger(), appender, settings.level);
     if (!writable)
         return LogError::FileNotWritable;
--- a/src/zinnia/runtime/replica_driver.cpp
+++ b/src/zinnia/runtime/replica_driver.cpp
@@ -83,9 +83,8 @@
                 = std::make_unique<StreamClient>(*this->poller, peer.address, this->settings.streams);
     }
     // Also drops the connections of instances that are no longer known.
-    std::erase_if(this->clients, [&](const auto& item) {
-        return std::find(instances.begin(), instances.end(), item.first) == instances.end();
-    });
+    std::erase_if(this->clients,
+        [&](const auto& item) { return std::find(instances.begin(), instances.end(), item.first) == instances.end(); });
     this->enqueue(consensus::InstancesKnown { std::move(instances) });
 }
 
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr Milliseconds feedTick { 150 };
+    /** The same until routes and upstreams are known. */
+    constexpr Milliseconds firstFeedTick { 50 };
     constexpr Milliseconds expiryInterval { 1000 };
     /** Batches read in one turn, so that timers and calls are not kept waiting under load. */
     constexpr int batchesEachTurn = 4;
@@ -28,8 +30,8 @@
 
 } // namespace
 
-Result<std::unique_ptr<RouterProcess>, RouterError> RouterProcess::create(const RouterSettings& settings,
-    const PacketFormat& format, const ReadinessApi& api, Epoch epoch, EventLoop& loop)
+Result<std::unique_ptr<RouterProcess>, RouterError> RouterProcess::create(
+    const RouterSettings& settings, const PacketFormat& format, const ReadinessApi& api, Epoch epoch, EventLoop& loop)
 {
     std::unique_ptr<RouterProcess> process { new RouterProcess { settings, format, epoch, loop } };
     if (const auto error = process->start(api))
@@ -175,14 +177,13 @@
 
 void RouterProcess::askControls()
 {
-    this->loop->schedule(feedTick, [this] { this->askControls(); });
+    this->loop->schedule(this->feed.isComplete() ? feedTick : firstFeedTick, [this] { this->askControls(); });
     const TimePoint now = this->loop->now();
     for (const auto& request : this->feed.tick(this->router.state().revision, now))
         this->link->send(request.control, wire::MessageKind::FeedRequest, request.request);
     const bool touched = this->feed.isInTouch(now);
     if (touched != std::exchange(this->inTouch, touched))
-        log(touched ? Event::ControlRegained : Event::ControlLost,
-            Field { "controls", this->feed.knownControls() });
+        log(touched ? Event::ControlRegained : Event::ControlLost, Field { "controls", this->feed.knownControls() });
 }
 
 void RouterProcess::everySecond()
--- a/src/zinnia/runtime/settings_watch.cpp
+++ b/src/zinnia/runtime/settings_watch.cpp
@@ -23,7 +23,7 @@
 
 SettingsWatch::Stamp SettingsWatch::stampOfFile() const
 {
-    struct stat status {};
+    struct stat status { };
     if (stat(this->file.c_str(), &status) != 0)
         return {};
     return { status.st_mtim.tv_sec, status.st_mtim.tv_nsec, status.st_size, status.st_ino };
--- a/src/zinnia/upstream/announcement_board.cpp
+++ b/src/zinnia/upstream/announcement_board.cpp
@@ -18,8 +18,7 @@
     bool saysTheSame(const Announcement& left, const Announcement& right)
     {
         return left.service == right.service && left.address == right.address && left.zone == right.zone
-            && left.slots == right.slots && left.state == right.state
-            && left.order.startedAt == right.order.startedAt;
+            && left.slots == right.slots && left.state == right.state && left.order.startedAt == right.order.startedAt;
     }
 
 } // namespace
@@ -31,8 +30,7 @@
     if (!isNew && announcement.order <= entry.announcement.order) {
         // The conclusion that an upstream is silent has the order of its last announcement.
         const bool concludes = announcement.state == AnnouncedState::Silent
-            && entry.announcement.state != AnnouncedState::Silent
-            && announcement.order == entry.announcement.order;
+            && entry.announcement.state != AnnouncedState::Silent && announcement.order == entry.announcement.order;
         if (!concludes)
             return BoardOutcome::Stale;
     }
--- /dev/null
+++ b/test/platform/platform_test.cpp
@@ -0,0 +1,254 @@
+#include "platform/call_codec.hpp"
+#include "platform/calls.hpp"
+#include "platform/packet_codec.hpp"
+
+#include <gtest/gtest.h>
+
+namespace zinnia::platform {
+namespace {
+
+    using runtime::CallStatus;
+    using runtime::HttpMethod;
+    using runtime::HttpRequest;
+    using runtime::HttpResponse;
+
+    Bytes bytesOf(std::initializer_list<int> values)
+    {
+        Bytes bytes;
+        for (const int value : values)
+            bytes.push_back(static_cast<std::uint8_t>(value));
+        return bytes;
+    }
+
+    /** @brief The opening packet of the platform's description. */
+    Bytes sampleOpening()
+    {
+        return bytesOf({ 0x00, 0x00, 0xa1, 0xb2, 0xc3, 0xd5, 0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00, 0xc6, 0x12,
+            0x00, 0x01, 0x01, 0xbb, 0x64, 0x40, 0x00, 0x07, 0x9c, 0x41, 0x00, 0x00, 0x00, 0x00, 0x10, 0x00 });
+    }
+
+    // Guards against fields that are read from the wrong place.
+    TEST(PacketCodec, ReadsTheDescribedPacket)
+    {
+        const auto packet = PacketCodec {}.parse(sampleOpening());
+        ASSERT_TRUE(packet);
+        EXPECT_EQ(packet->caller, (Endpoint { 0x64400007, 40001 }));
+        EXPECT_EQ(packet->service, (Endpoint { 0xC6120001, 443 }));
+        EXPECT_EQ(packet->sequence, 0x11223344U);
+        EXPECT_TRUE(packet->opens);
+        EXPECT_FALSE(packet->acknowledges || packet->finishes || packet->aborts);
+    }
+
+    // Guards against malformed datagrams that are sent on.
+    TEST(PacketCodec, RefusesOtherLengths)
+    {
+        Bytes bytes = sampleOpening();
+        bytes.push_back(0);
+        EXPECT_FALSE(PacketCodec {}.parse(bytes));
+        bytes.resize(31);
+        EXPECT_FALSE(PacketCodec {}.parse(bytes));
+        EXPECT_FALSE(PacketCodec {}.parse({}));
+    }
+
+    // Guards against a reset that callers do not take.
+    TEST(PacketCodec, WritesTheDescribedReset)
+    {
+        const PacketCodec codec;
+        const auto head = codec.reset(*codec.parse(sampleOpening()));
+        const Bytes reset { head.bytes.begin(), head.bytes.begin() + static_cast<std::ptrdiff_t>(head.size) };
+        EXPECT_EQ(reset,
+            bytesOf({ 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x64, 0x40,
+                0x00, 0x07, 0x9c, 0x41, 0xc6, 0x12, 0x00, 0x01, 0x01, 0xbb, 0x00, 0x00, 0x00, 0x00, 0x08, 0x00 }));
+    }
+
+    // Guards against changes of anything but the token, which the ends of the flow would notice.
+    TEST(PacketCodec, ForwardsWithNumberAndToken)
+    {
+        const Bytes packet = sampleOpening();
+        const auto head = PacketCodec {}.forwardHead(
+            packet, upstream::UpstreamNumber { 0x7F3A91C2 }, routing::RoutingToken { 0x01020304 });
+        ASSERT_EQ(head.size, 40U);
+        EXPECT_EQ(head.replaced, 32U);
+        Bytes expected = bytesOf({ 0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2 });
+        expected.insert(expected.end(), packet.begin(), packet.end());
+        for (int i = 0; i < 4; ++i)
+            expected[34 + static_cast<std::size_t>(i)] = static_cast<std::uint8_t>(i + 1);
+        EXPECT_EQ((Bytes { head.bytes.begin(), head.bytes.begin() + 40 }), expected);
+    }
+
+    const std::string beat
+        = R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"a","version":"v1","slots":2,"state":"ready",)"
+          R"("cold_remaining_ms":150,"seq":4,"born":1782788870000})";
+
+    TEST(CallCodec, ReadsAnAnnouncement)
+    {
+        const auto result = readAnnouncement("i-7f3a91c2", beat);
+        ASSERT_TRUE(result);
+        EXPECT_EQ(result.value().number, upstream::UpstreamNumber { 0x7F3A91C2 });
+        EXPECT_EQ(result.value().address, (Endpoint { 0x0A800009, 8080 }));
+        EXPECT_EQ(result.value().coldLeft, Milliseconds { 150 });
+        EXPECT_EQ(result.value().order, (upstream::AnnouncementOrder { 1782788870000, 4 }));
+    }
+
+    // Guards against an announcement of another writer that is taken for an upstream.
+    TEST(CallCodec, RefusesAnnouncementsWithMissingOrWrongFields)
+    {
+        const auto without = [](const std::string& text, const std::string& other) {
+            std::string changed = beat;
+            changed.replace(changed.find(text), text.size(), other);
+            return readAnnouncement("i-7f3a91c2", changed);
+        };
+        EXPECT_FALSE(without("\"ready\"", "\"resting\""));
+        EXPECT_FALSE(without("\"seq\":4", "\"seq\":\"4\""));
+        EXPECT_FALSE(without("\"seq\":4,", ""));
+        EXPECT_FALSE(without("\"born\":1782788870000", "\"born\":1.5"));
+        EXPECT_FALSE(without("10.128.0.9:8080", "10.128.0.9"));
+        EXPECT_FALSE(without("\"slots\":2", "\"slots\":-2"));
+        EXPECT_FALSE(readAnnouncement("i-7f3a91c2", "{\"service\":"));
+        EXPECT_FALSE(readAnnouncement("-", beat));
+    }
+
+    const std::string sampleRoutes
+        = R"({"version":7,"routes":[{"name":"r-1","host":"198.18.0.1","path_prefix":"/8443/","type":"safe",)"
+          R"("timeout_ms":1000,"latency_goal_ms":100,"priority":2,"traffic_split":[{"service":"huvo11a","weight":90},)"
+          R"({"service":"wuno96b","weight":10}],"max_attempts":2},{"name":"r-2","host":"198.18.0.2",)"
+          R"("path_prefix":"/8443/","type":"unsafe","timeout_ms":5000,"priority":2,"service":"wuno96b"}],)"
+          R"("services":[{"name":"huvo11a","health_path":"/health","max_flows":2000,"protocol":"h1","tls":false,)"
+          R"("cold_start_s":2.0,"cold_per_s":0.0},{"name":"wuno96b","health_path":"/health","max_flows":2000,)"
+          R"("protocol":"h1","tls":false,"cold_start_s":2.0,"cold_per_s":0.0}],)"
+          R"("limits":{"max_header_bytes":16384,"idle_timeout_ms":15000}})";
+
+    TEST(CallCodec, ReadsAConfiguration)
+    {
+        const auto result = readRoutes(sampleRoutes);
+        ASSERT_TRUE(result);
+        const auto& table = result.value().table;
+        EXPECT_EQ(result.value().document, sampleRoutes);
+        EXPECT_EQ(table.version, ConfigVersion { 7 });
+        ASSERT_EQ(table.routes.size(), 2U);
+        EXPECT_EQ(table.routes[0].address, (Endpoint { 0xC6120001, 8443 }));
+        EXPECT_EQ(table.routes[0].shares[1], (config::ServiceShare { "wuno96b", 10 }));
+        EXPECT_EQ(table.routes[1].requestClass, config::RequestClass::NonIdempotent);
+        EXPECT_EQ(table.flowIdle, Milliseconds { 15000 });
+        EXPECT_TRUE(config::validate(table));
+    }
+
+    // Guards against a configuration that was cut short or has fields of another type.
+    TEST(CallCodec, RefusesConfigurationsThatCannotBeReadInFull)
+    {
+        for (std::size_t size = 0; size < sampleRoutes.size(); size += 7)
+            EXPECT_FALSE(readRoutes(sampleRoutes.substr(0, size))) << size;
+        const auto with = [](const std::string& text, const std::string& other) {
+            std::string changed = sampleRoutes;
+            changed.replace(changed.find(text), text.size(), other);
+            return readRoutes(changed);
+        };
+        EXPECT_FALSE(with("\"version\":7", "\"version\":\"7\""));
+        EXPECT_FALSE(with("\"weight\":90", "\"weight\":-1"));
+        EXPECT_FALSE(with(",\"weight\":90", ""));
+        EXPECT_FALSE(with("/8443/", "/x/"));
+        EXPECT_FALSE(with("\"type\":\"safe\"", "\"type\":\"other\""));
+    }
+
+    /** @brief Records what is asked and answers as it is told to. */
+    class FakeService final : public runtime::FleetService {
+    public:
+        void change(config::FleetCommand command, CallDone done) override
+        {
+            this->changes.push_back(std::move(command));
+            done(this->result);
+        }
+        void readRoutes(ReadDone done) override { done({ this->result, this->document }); }
+        void announce(const upstream::Announcement& announcement, CallDone done) override
+        {
+            this->announcements.push_back(announcement);
+            done(this->result);
+        }
+        void depart(upstream::UpstreamNumber number, CallDone done) override
+        {
+            this->departed.push_back(number);
+            done(this->result);
+        }
+
+        runtime::CallResult result { CallStatus::Done, std::nullopt };
+        std::optional<std::string> document;
+        std::vector<config::FleetCommand> changes;
+        std::vector<upstream::Announcement> announcements;
+        std::vector<upstream::UpstreamNumber> departed;
+    };
+
+    HttpResponse call(FakeService& service, HttpMethod method, const std::string& path, const std::string& body = "")
+    {
+        HttpResponse result;
+        result.status = 0;
+        controlCalls(service, 8166)(
+            { method, path, "", body }, [&](HttpResponse response) { result = std::move(response); });
+        return result;
+    }
+
+    // Guards against calls that reach the wrong function.
+    TEST(ControlCalls, TranslatesEachCall)
+    {
+        FakeService service;
+        EXPECT_EQ(call(service, HttpMethod::Put, "/zinniamount/instances/i-7f3a91c2", beat).status, 200);
+        EXPECT_EQ(call(service, HttpMethod::Delete, "/zinniamount/instances/i-7f3a91c2").status, 200);
+        EXPECT_EQ(call(service, HttpMethod::Put, "/zinniamount/config", sampleRoutes).status, 200);
+        EXPECT_EQ(call(service, HttpMethod::Post, "/zinniamount/evacuate/b").status, 200);
+        EXPECT_EQ(call(service, HttpMethod::Delete, "/zinniamount/evacuate/b").status, 200);
+        EXPECT_EQ(service.announcements.size(), 1U);
+        EXPECT_EQ(service.departed, (std::vector { upstream::UpstreamNumber { 0x7F3A91C2 } }));
+        ASSERT_EQ(service.changes.size(), 3U);
+        EXPECT_TRUE(std::get<config::SetZoneWithdrawn>(service.changes[1]).withdrawn);
+        EXPECT_FALSE(std::get<config::SetZoneWithdrawn>(service.changes[2]).withdrawn);
+        service.document = "{}";
+        EXPECT_EQ(call(service, HttpMethod::Get, "/zinniamount/config").body, "{}");
+        EXPECT_EQ(call(service, HttpMethod::Get, "/zinniamount/other").status, 404);
+    }
+
+    // Guards against invalid content that reaches the log.
+    TEST(ControlCalls, RefusesInvalidBodiesWithTheReason)
+    {
+        FakeService service;
+        std::string unknown = sampleRoutes;
+        unknown.replace(unknown.rfind("\"service\":\"wuno96b\""), 19, "\"service\":\"nobody9\"");
+        const auto refused = call(service, HttpMethod::Put, "/zinniamount/config", unknown);
+        EXPECT_EQ(refused.status, 400);
+        EXPECT_NE(refused.body.find("unknown_service"), std::string::npos);
+        EXPECT_EQ(call(service, HttpMethod::Put, "/zinniamount/config", "{").status, 400);
+        EXPECT_EQ(call(service, HttpMethod::Put, "/zinniamount/instances/i-1", "{}").status, 400);
+        EXPECT_TRUE(service.changes.empty());
+        EXPECT_TRUE(service.announcements.empty());
+    }
+
+    // Guards against a refusal of a valid order: it has to be sent on, or tried again elsewhere.
+    TEST(ControlCalls, RedirectsToTheLeaderAndNeverRefusesForALackOfOne)
+    {
+        FakeService service;
+        service.result = { CallStatus::NotLeader, InstanceId { 0x0A000004 } };
+        const auto moved = call(service, HttpMethod::Put, "/zinniamount/config", sampleRoutes);
+        EXPECT_EQ(moved.status, 307);
+        EXPECT_EQ(moved.location, "http://10.0.0.4:8166/zinniamount/config");
+        for (const CallStatus status : { CallStatus::NotLeader, CallStatus::OutcomeUnknown, CallStatus::Unavailable }) {
+            service.result = { status, std::nullopt };
+            EXPECT_EQ(call(service, HttpMethod::Put, "/zinniamount/config", sampleRoutes).status, 503);
+            EXPECT_EQ(call(service, HttpMethod::Get, "/zinniamount/config").status, 503);
+        }
+    }
+
+    TEST(ReadinessCall, FollowsTheState)
+    {
+        bool ready = false;
+        const auto handler = readinessCall([&] { return ready; });
+        int status = 0;
+        const auto ask = [&] {
+            handler(
+                { HttpMethod::Get, "/zinniamount/ready", "", "" }, [&](const HttpResponse& r) { status = r.status; });
+            return status;
+        };
+        EXPECT_EQ(ask(), 503);
+        ready = true;
+        EXPECT_EQ(ask(), 200);
+    }
+
+} // namespace
+} // namespace zinnia::platform
--- /dev/null
+++ b/test/zinnia/feed/feed_client_test.cpp
@@ -0,0 +1,107 @@
+#include "zinnia/feed/control_roster.hpp"
+#include "zinnia/feed/feed_client.hpp"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace zinnia::feed {
+namespace {
+
+    constexpr InstanceId one { 1 };
+    constexpr InstanceId two { 2 };
+    constexpr InstanceId three { 3 };
+    constexpr InstanceId four { 4 };
+    const TimePoint start { Seconds { 1000 } };
+
+    FeedReply replyOf(std::uint64_t revision, std::uint64_t change, std::uint64_t lastChange)
+    {
+        FeedReply reply;
+        reply.confirmed = true;
+        reply.revision = revision;
+        reply.board = Epoch { 9 };
+        reply.change = change;
+        reply.lastChange = lastChange;
+        return reply;
+    }
+
+    std::set<InstanceId> asked(const std::vector<OutgoingRequest>& requests)
+    {
+        std::set<InstanceId> result;
+        for (const auto& request : requests)
+            result.insert(request.control);
+        return result;
+    }
+
+    // Guards against a router that waits a second for its first news after a restart of the whole fleet.
+    TEST(FeedClient, AsksAllSeedsAgainSoonWhileNoneAnswers)
+    {
+        FeedClient client { {}, { one, two, three } };
+        EXPECT_EQ(asked(client.tick(0, start)), (std::set { one, two, three }));
+        EXPECT_EQ(asked(client.tick(0, start + Milliseconds { 100 })), (std::set { one, two, three }));
+    }
+
+    // Guards against a router that counts as ready before it knows every announcement.
+    TEST(FeedClient, IsCompleteOnlyAfterAWholeReplyOfAConfirmedInstance)
+    {
+        FeedClient client { {}, { one } };
+        (void)client.tick(0, start);
+        FeedReply doubtful = replyOf(3, 5, 5);
+        doubtful.confirmed = false;
+        EXPECT_FALSE(client.receive(one, doubtful, 3, start));
+        EXPECT_FALSE(client.isComplete());
+        const auto more = client.receive(one, replyOf(3, 2, 5), 3, start);
+        ASSERT_TRUE(more);
+        EXPECT_EQ(more->request.change, 2U);
+        EXPECT_FALSE(client.isComplete());
+        EXPECT_FALSE(client.receive(one, replyOf(3, 5, 5), 3, start));
+        EXPECT_TRUE(client.isComplete());
+        EXPECT_TRUE(client.isInTouch(start + Milliseconds { 2500 }));
+        EXPECT_FALSE(client.isInTouch(start + Milliseconds { 2501 }));
+    }
+
+    // Guards against news that depends on a single instance, which may be cut off and not know it.
+    TEST(FeedClient, AsksTheAnsweringInstancesInTurnAndSilentOnesRarely)
+    {
+        FeedClient client { {}, { one, two, three } };
+        (void)client.tick(0, start);
+        for (const InstanceId id : { one, two })
+            (void)client.receive(id, replyOf(3, 1, 1), 3, start);
+        EXPECT_EQ(asked(client.tick(3, start + Milliseconds { 150 })), (std::set { one }));
+        EXPECT_EQ(asked(client.tick(3, start + Milliseconds { 300 })), (std::set { two }));
+        EXPECT_EQ(asked(client.tick(3, start + Milliseconds { 1000 })), (std::set { one, three }));
+    }
+
+    // Guards against a router that is left alone when all its seeds were replaced.
+    TEST(FeedClient, LearnsOtherInstancesFromReplies)
+    {
+        FeedClient client { {}, { one } };
+        (void)client.tick(0, start);
+        FeedReply reply = replyOf(3, 1, 1);
+        reply.controls = { one, four };
+        (void)client.receive(one, reply, 3, start);
+        EXPECT_TRUE(asked(client.tick(3, start + Milliseconds { 1000 })).contains(four));
+    }
+
+    // Guards against a restarted machine that is not told what the others know.
+    TEST(ControlRoster, TellsARestartFromASilence)
+    {
+        ControlRoster roster { {}, one, { one, two, three }, start };
+        EXPECT_EQ(roster.peers(), (std::vector { two, three }));
+        EXPECT_EQ(roster.heard(two, Epoch { 1 }, start), RosterChange::Appeared);
+        EXPECT_EQ(roster.heard(two, Epoch { 1 }, start), RosterChange::Known);
+        EXPECT_EQ(roster.heard(two, Epoch { 2 }, start), RosterChange::Restarted);
+        EXPECT_EQ(roster.heard(two, Epoch { 2 }, start + Seconds { 3 }), RosterChange::Returned);
+        EXPECT_EQ(roster.live(start + Seconds { 3 }), (std::vector { one, two }));
+    }
+
+    // Guards against members that are gone for good and are sent news for ever.
+    TEST(ControlRoster, ForgetsAllButSeeds)
+    {
+        ControlRoster roster { {}, one, { two }, start };
+        EXPECT_TRUE(roster.learn({ four }, start));
+        EXPECT_TRUE(roster.forgetOld(start + Seconds { 61 }));
+        EXPECT_EQ(roster.peers(), (std::vector { two }));
+    }
+
+} // namespace
+} // namespace zinnia::feed
--- /dev/null
+++ b/test/zinnia/routing/flow_router_test.cpp
@@ -0,0 +1,182 @@
+#include "zinnia/routing/fixture.hpp"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+
+namespace zinnia::routing::test {
+namespace {
+
+    using upstream::AnnouncedState;
+
+    // Guards against callers that wait for an answer that nobody will send.
+    TEST(FlowRouter, ResetsAnOpeningWithoutRouteOrUpstream)
+    {
+        Fixture fixture { {} };
+        const auto noUpstream = fixture.send(Fixture::openingOf(1));
+        EXPECT_EQ(noUpstream.action, PacketAction::Reset);
+        EXPECT_EQ(noUpstream.reason, RoutingReason::NoUpstream);
+        const auto noRoute = fixture.send(Fixture::openingOf(2, { 0xC6120009, 443 }));
+        EXPECT_EQ(noRoute.action, PacketAction::Reset);
+        EXPECT_EQ(noRoute.reason, RoutingReason::NoRoute);
+    }
+
+    // Guards against a reset of a flow that is open at an upstream of which this router has not heard.
+    TEST(FlowRouter, NeverResetsAnUnknownToken)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        const auto decision = fixture.send(Fixture::packetOf(1, RoutingToken { 77 }, 5, 5, 10));
+        EXPECT_EQ(decision.action, PacketAction::Drop);
+        EXPECT_EQ(decision.reason, RoutingReason::UnknownToken);
+    }
+
+    // Guards against flows that break when another router takes them over: the token alone has to be enough.
+    TEST(FlowRouter, ForwardsByTokenWithoutARecord)
+    {
+        Fixture fixture { { announce(1, "logger", "a"), announce(2, "logger", "b") } };
+        const auto decision = fixture.send(Fixture::packetOf(9, tokenOf(upstream::UpstreamNumber { 2 }), 5, 5, 10));
+        ASSERT_EQ(decision.action, PacketAction::Forward);
+        EXPECT_EQ(decision.upstream->announced.number, upstream::UpstreamNumber { 2 });
+    }
+
+    // Guards against a packet for one service that reaches an upstream of another.
+    TEST(FlowRouter, OpensFlowsAtTheServiceOfTheRoute)
+    {
+        Fixture fixture { { announce(1, "logger", "a"), announce(2, "archive", "a") } };
+        for (std::uint16_t port = 1; port <= 50; ++port) {
+            const auto decision = fixture.send(Fixture::openingOf(port, archiveAddress));
+            ASSERT_EQ(decision.action, PacketAction::Forward);
+            EXPECT_EQ(decision.upstream->announced.service, "archive");
+        }
+    }
+
+    // Load: many callers open flows. Guards against upstreams of one zone that get much more than the others.
+    TEST(FlowRouter, SpreadsFlowsEvenlyOverTheOwnZone)
+    {
+        Fixture fixture { { announce(1, "logger", "a"), announce(2, "logger", "a"), announce(3, "logger", "a"),
+            announce(4, "logger", "b") } };
+        std::map<std::uint64_t, int> flows;
+        for (std::uint16_t port = 1; port <= 90; ++port)
+            ++flows[fixture.send(Fixture::openingOf(port)).upstream->announced.number.value];
+        EXPECT_EQ(flows, (std::map<std::uint64_t, int> { { 1, 30 }, { 2, 30 }, { 3, 30 } }));
+    }
+
+    // Guards against callers that are refused while another zone has upstreams, and against new work for leaving ones.
+    TEST(FlowRouter, UsesOtherZonesWhenTheOwnHasNoUsableUpstream)
+    {
+        Fixture fixture { { announce(1, "logger", "a", AnnouncedState::Draining),
+            announce(2, "logger", "a", AnnouncedState::Ready, 1, Milliseconds { 2000 }), announce(3, "logger", "b") } };
+        EXPECT_EQ(fixture.send(Fixture::openingOf(1)).upstream->announced.number, upstream::UpstreamNumber { 3 });
+        fixture.now += Milliseconds { 2001 };
+        EXPECT_EQ(fixture.send(Fixture::openingOf(2)).upstream->announced.number, upstream::UpstreamNumber { 2 });
+    }
+
+    // Guards against new flows to a withdrawn zone, and against a rush to upstreams that came back cold.
+    TEST(FlowRouter, SendsNoNewFlowToAWithdrawnZoneAndWaitsAfterItsReturn)
+    {
+        Fixture fixture { { announce(1, "logger", "a"), announce(2, "logger", "b") } };
+        const RoutingToken open = fixture.open(1);
+        ASSERT_EQ(open, tokenOf(upstream::UpstreamNumber { 1 }));
+        EXPECT_TRUE(fixture.router.adopt(stateOf(2, { "a" }), fixture.now));
+        EXPECT_EQ(fixture.send(Fixture::openingOf(2)).upstream->announced.zone, "b");
+        EXPECT_TRUE(fixture.router.adopt(stateOf(3), fixture.now));
+        EXPECT_EQ(fixture.send(Fixture::openingOf(3)).upstream->announced.zone, "b");
+        fixture.now += Milliseconds { 2000 };
+        EXPECT_EQ(fixture.send(Fixture::openingOf(4)).upstream->announced.zone, "a");
+    }
+
+    // Guards against a router that goes back to an older state when a control instance lags.
+    TEST(FlowRouter, AdoptsOnlyNewerStates)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        EXPECT_TRUE(fixture.router.adopt(stateOf(5), fixture.now));
+        EXPECT_FALSE(fixture.router.adopt(stateOf(4, { "a" }), fixture.now));
+        EXPECT_FALSE(fixture.router.adopt(stateOf(5, { "a" }), fixture.now));
+        EXPECT_EQ(fixture.send(Fixture::openingOf(1)).action, PacketAction::Forward);
+    }
+
+    // Load: an upstream crashes under traffic. Guards against callers whose second try goes to the dead one too.
+    TEST(FlowRouter, SendsTheCopyOfAnUnansweredOpeningElsewhereAndAvoidsTheFirst)
+    {
+        Fixture fixture { { announce(1, "logger", "a"), announce(2, "logger", "a") } };
+        const FlowPacket opening = Fixture::openingOf(1);
+        const auto first = fixture.send(opening).upstream->token;
+        fixture.now += Milliseconds { 200 };
+        const auto moved = fixture.send(opening);
+        EXPECT_EQ(moved.reason, RoutingReason::CopyMoved);
+        EXPECT_NE(moved.upstream->token, first);
+        for (std::uint16_t port = 2; port <= 10; ++port)
+            EXPECT_NE(fixture.send(Fixture::openingOf(port)).upstream->token, first);
+    }
+
+    // Load: an upstream dies with open flows. Guards against callers that wait until their deadline, and against a
+    // reset while the upstream answers others.
+    TEST(FlowRouter, ResetsFlowsOfAnUpstreamThatAnswersNobody)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        const RoutingToken token = fixture.open(1);
+        ASSERT_EQ(fixture.open(2), token);
+        ASSERT_EQ(fixture.open(3), token);
+        fixture.now += Milliseconds { 100 };
+        EXPECT_EQ(fixture.send(Fixture::packetOf(1, token, 1001, 500, 100)).action, PacketAction::Forward);
+        EXPECT_EQ(fixture.send(Fixture::packetOf(2, token, 2001, 500, 100)).action, PacketAction::Forward);
+        fixture.now += Milliseconds { 100 };
+        // The third flow gets an answer, so the first repeats show a lost packet and not a dead upstream.
+        (void)fixture.send(Fixture::packetOf(3, token, 3001, 600, 0));
+        fixture.now += Milliseconds { 100 };
+        EXPECT_EQ(fixture.send(Fixture::packetOf(1, token, 1001, 500, 100)).action, PacketAction::Forward);
+        EXPECT_EQ(fixture.send(Fixture::packetOf(2, token, 2001, 500, 100)).action, PacketAction::Forward);
+        // New requests without any answer since.
+        (void)fixture.send(Fixture::packetOf(1, token, 1001, 700, 0));
+        (void)fixture.send(Fixture::packetOf(2, token, 2001, 700, 0));
+        fixture.now += Milliseconds { 10 };
+        (void)fixture.send(Fixture::packetOf(1, token, 1101, 700, 100));
+        (void)fixture.send(Fixture::packetOf(2, token, 2101, 700, 100));
+        fixture.now += Milliseconds { 200 };
+        EXPECT_EQ(fixture.send(Fixture::packetOf(1, token, 1101, 700, 100)).action, PacketAction::Forward);
+        const auto dead = fixture.send(Fixture::packetOf(2, token, 2101, 700, 100));
+        EXPECT_EQ(dead.action, PacketAction::Reset);
+        EXPECT_EQ(dead.reason, RoutingReason::UpstreamDead);
+    }
+
+    // Guards against callers that wait for an upstream that has announced its departure.
+    TEST(FlowRouter, ResetsFlowsOfADepartedUpstream)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        const RoutingToken token = fixture.open(1);
+        (void)fixture.router.merge({ announce(1, "logger", "a", AnnouncedState::Draining, 2) }, fixture.now);
+        EXPECT_EQ(fixture.send(Fixture::packetOf(1, token, 1001, 500, 100)).action, PacketAction::Forward);
+        (void)fixture.router.merge(
+            { announce(1, "logger", "a", AnnouncedState::Gone, upstream::AnnouncementOrder::departure) }, fixture.now);
+        EXPECT_EQ(fixture.send(Fixture::packetOf(1, token, 1101, 500, 100)).reason, RoutingReason::UpstreamGone);
+    }
+
+    // Guards against counts that grow for ever and keep an upstream out of use.
+    TEST(FlowRouter, ForgetsFinishedAndIdleFlows)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        for (std::uint16_t port = 1; port <= 20; ++port) {
+            const RoutingToken token = fixture.open(port);
+            FlowPacket last = Fixture::packetOf(port, token, 1000U * port + 1, 500, 0);
+            last.finishes = port % 2 == 0;
+            (void)fixture.send(last);
+        }
+        const auto& upstreams = fixture.router.directory().all();
+        EXPECT_EQ(upstreams.begin()->second.flows, 10U);
+        fixture.now += Seconds { 16 };
+        fixture.router.expire(fixture.now);
+        EXPECT_EQ(fixture.router.flowCount(), 0U);
+        EXPECT_EQ(upstreams.begin()->second.flows, 0U);
+    }
+
+    // Guards against a silent upstream that takes new flows while others answer, and against refusals when all are.
+    TEST(FlowRouter, UsesSilentUpstreamsOnlyWhenThereIsNoOther)
+    {
+        Fixture fixture { { announce(1, "logger", "a", AnnouncedState::Silent), announce(2, "logger", "b") } };
+        EXPECT_EQ(fixture.send(Fixture::openingOf(1)).upstream->announced.number, upstream::UpstreamNumber { 2 });
+        (void)fixture.router.merge({ announce(2, "logger", "b", AnnouncedState::Silent) }, fixture.now);
+        EXPECT_EQ(fixture.send(Fixture::openingOf(2)).action, PacketAction::Forward);
+    }
+
+} // namespace
+} // namespace zinnia::routing::test
--- /dev/null
+++ b/test/zinnia/runtime/http_listener_test.cpp
@@ -0,0 +1,148 @@
+#include "zinnia/runtime/event_loop.hpp"
+#include "zinnia/runtime/http_listener.hpp"
+#include "zinnia/runtime/socket_address.hpp"
+#include "zinnia/runtime/steady_clock.hpp"
+
+#include <array>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace zinnia::runtime {
+namespace {
+
+    /** @brief A listener on the loopback interface, a client of it, and the loop that both need. */
+    class HttpListenerTest : public ::testing::Test {
+    protected:
+        void start(HttpListenerSettings settings = {})
+        {
+            settings.address = { 0x7F000001, 0 };
+            this->loop = std::move(EventLoop::create(this->clock)).value();
+            auto created
+                = HttpListener::create(*this->loop, settings, [this](HttpRequest request, HttpResponder respond) {
+                      this->requests.push_back(std::move(request));
+                      this->responders.push_back(std::move(respond));
+                  });
+            ASSERT_TRUE(created);
+            this->listener = std::move(created.value());
+        }
+
+        int connectClient()
+        {
+            const int fd = socket(AF_INET, SOCK_STREAM, 0);
+            const sockaddr_in address = internal::socketAddressOf(this->listener->address());
+            EXPECT_EQ(connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
+            return fd;
+        }
+
+        void turn(int times = 5)
+        {
+            for (int i = 0; i < times; ++i)
+                this->loop->runOnce(Milliseconds { 5 });
+        }
+
+        static void write(int fd, const std::string& text)
+        {
+            ASSERT_EQ(send(fd, text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
+        }
+
+        static std::string readSome(int fd)
+        {
+            std::array<char, 65536> buffer {};
+            const ssize_t size = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            return size > 0 ? std::string { buffer.data(), static_cast<std::size_t>(size) } : std::string {};
+        }
+
+        SteadyClock clock;
+        std::unique_ptr<EventLoop> loop;
+        std::unique_ptr<HttpListener> listener;
+        std::vector<HttpRequest> requests;
+        std::vector<HttpResponder> responders;
+    };
+
+    // Guards against a request in pieces that is dropped, and against a second one that overtakes the first.
+    TEST_F(HttpListenerTest, answersRequestsInOrderOnOneConnection)
+    {
+        this->start();
+        const int fd = this->connectClient();
+        write(fd, "PUT /one HTTP/1.1\r\nHost: h\r\nContent-Le");
+        this->turn();
+        EXPECT_TRUE(this->requests.empty());
+        write(fd, "ngth: 4\r\n\r\nbo");
+        this->turn();
+        write(fd, "dyGET /two HTTP/1.1\r\nHost: h\r\n\r\n");
+        this->turn();
+        ASSERT_EQ(this->requests.size(), 1U);
+        EXPECT_EQ(this->requests[0].method, HttpMethod::Put);
+        EXPECT_EQ(this->requests[0].body, "body");
+        this->responders[0](HttpResponse::text(200, "first"));
+        this->turn();
+        ASSERT_EQ(this->requests.size(), 2U);
+        EXPECT_EQ(this->requests[1].path, "/two");
+        HttpResponse moved = HttpResponse::text(307, "");
+        moved.location = "http://10.0.0.4:8080/two";
+        this->responders[1](moved);
+        this->turn();
+        const std::string text = readSome(fd);
+        EXPECT_NE(text.find("HTTP/1.1 200 OK"), std::string::npos);
+        EXPECT_NE(text.find("first"), std::string::npos);
+        EXPECT_NE(text.find("Location: http://10.0.0.4:8080/two"), std::string::npos);
+        close(fd);
+    }
+
+    // Guards against memory that any caller can fill.
+    TEST_F(HttpListenerTest, refusesTooLargeHeadersAndBodies)
+    {
+        this->start({ .headerBytes = 256, .bodyBytes = 100 });
+        const int first = this->connectClient();
+        write(first, "PUT /one HTTP/1.1\r\nContent-Length: 101\r\n\r\n");
+        const int second = this->connectClient();
+        write(second, "GET /" + std::string(300, 'x'));
+        const int third = this->connectClient();
+        write(third, "nonsense\r\n\r\n");
+        this->turn(10);
+        EXPECT_NE(readSome(first).find(" 413 "), std::string::npos);
+        EXPECT_NE(readSome(second).find(" 431 "), std::string::npos);
+        EXPECT_FALSE(readSome(third).empty());
+        EXPECT_EQ(this->listener->connectionCount(), 0U);
+        EXPECT_TRUE(this->requests.empty());
+        for (const int fd : { first, second, third })
+            close(fd);
+    }
+
+    // Guards against an answer to a caller that has gone, or after the listener was closed.
+    TEST_F(HttpListenerTest, ignoresLateAnswers)
+    {
+        this->start();
+        const int fd = this->connectClient();
+        write(fd, "GET /one HTTP/1.1\r\n\r\n");
+        this->turn();
+        ASSERT_EQ(this->responders.size(), 1U);
+        close(fd);
+        this->turn();
+        EXPECT_EQ(this->listener->connectionCount(), 0U);
+        this->responders[0](HttpResponse::text(200, "late"));
+        this->listener.reset();
+        this->responders[0](HttpResponse::text(200, "later"));
+    }
+
+    // Guards against idle connections that keep new callers out.
+    TEST_F(HttpListenerTest, givesTheIdlestConnectionUpForANewOne)
+    {
+        this->start({ .connections = 2 });
+        const int first = this->connectClient();
+        this->turn();
+        const int second = this->connectClient();
+        this->turn();
+        const int third = this->connectClient();
+        this->turn();
+        write(third, "GET /one HTTP/1.1\r\n\r\n");
+        this->turn();
+        EXPECT_EQ(this->requests.size(), 1U);
+        EXPECT_EQ(this->listener->connectionCount(), 2U);
+        for (const int fd : { first, second, third })
+            close(fd);
+    }
+
+} // namespace
+} // namespace zinnia::runtime
--- /dev/null
+++ b/test/zinnia/runtime/pipe_appender_test.cpp
@@ -0,0 +1,51 @@
+#include "zinnia/runtime/pipe_appender.hpp"
+
+#include <array>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/loglevel.h>
+#include <unistd.h>
+
+namespace zinnia::runtime {
+namespace {
+
+    std::string drain(int descriptor)
+    {
+        std::string text;
+        std::array<char, 65536> part {};
+        ssize_t size = 0;
+        while ((size = read(descriptor, part.data(), part.size())) > 0)
+            text.append(part.data(), static_cast<std::size_t>(size));
+        return text;
+    }
+
+    // Guards against a process that stands still because nobody reads its log, and against losses that are not told.
+    TEST(PipeAppender, DropsWholeLinesWhileThePipeIsFullAndTellsHowMany)
+    {
+        std::array<int, 2> ends {};
+        ASSERT_EQ(pipe(ends.data()), 0);
+        ASSERT_EQ(fcntl(ends[0], F_SETFL, O_NONBLOCK), 0);
+        log4cplus::SharedAppenderPtr appender { new PipeAppender { ends[1] } };
+        appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+        const auto& pipeAppender = static_cast<const PipeAppender&>(*appender);
+        const auto write = [&](const std::string& text) {
+            const log4cplus::spi::InternalLoggingEvent event { "zinnia", log4cplus::INFO_LOG_LEVEL, text, "", 0, "" };
+            appender->doAppend(event);
+        };
+        const std::string line(1000, 'x');
+        while (pipeAppender.dropped() == 0)
+            write(line);
+        write(line);
+        EXPECT_EQ(pipeAppender.dropped(), 2U);
+        const std::string first = drain(ends[0]);
+        EXPECT_EQ(first.size() % (line.size() + 1), 0U);
+        write("after");
+        EXPECT_EQ(drain(ends[0]), "WARN 1008 LogLinesDropped lines=2\nafter\n");
+        EXPECT_EQ(pipeAppender.dropped(), 0U);
+        close(ends[0]);
+        close(ends[1]);
+    }
+
+} // namespace
+} // namespace zinnia::runtime
--- /dev/null
+++ b/test/zinnia/upstream/announcement_board_test.cpp
@@ -0,0 +1,91 @@
+#include "zinnia/upstream/announcement_board.hpp"
+
+#include <gtest/gtest.h>
+
+namespace zinnia::upstream {
+namespace {
+
+    constexpr UpstreamNumber first { 0x7F3A91C2 };
+    const TimePoint start { Seconds { 1000 } };
+
+    Announcement announcementOf(std::uint64_t startedAt, std::uint64_t sequence, AnnouncedState state)
+    {
+        Announcement announcement;
+        announcement.number = first;
+        announcement.service = "logger";
+        announcement.address = { 0x0A800009, 8080 };
+        announcement.zone = "a";
+        announcement.slots = 2;
+        announcement.state = state;
+        announcement.order = { startedAt, sequence };
+        return announcement;
+    }
+
+    // Guards against a late announcement that undoes a drain.
+    TEST(AnnouncementBoard, KeepsTheAnnouncementWithTheHighestSequence)
+    {
+        AnnouncementBoard board { {} };
+        EXPECT_EQ(board.observe(announcementOf(5, 4, AnnouncedState::Draining), {}, start), BoardOutcome::Changed);
+        EXPECT_EQ(board.observe(announcementOf(5, 3, AnnouncedState::Ready), {}, start), BoardOutcome::Stale);
+        EXPECT_EQ(board.find(first)->state, AnnouncedState::Draining);
+    }
+
+    // Guards against an upstream that starts again under its id, whose sequence numbers start anew.
+    TEST(AnnouncementBoard, ALaterStartComesFirst)
+    {
+        AnnouncementBoard board { {} };
+        (void)board.observe(announcementOf(5, 900, AnnouncedState::Ready), {}, start);
+        (void)board.depart(first, start);
+        EXPECT_EQ(board.observe(announcementOf(5, 901, AnnouncedState::Ready), {}, start), BoardOutcome::Stale);
+        EXPECT_EQ(board.observe(announcementOf(6, 1, AnnouncedState::Ready), {}, start), BoardOutcome::Changed);
+        EXPECT_EQ(board.find(first)->state, AnnouncedState::Ready);
+    }
+
+    // Guards against an instance that was cut off and takes all upstreams out of use when it is back.
+    TEST(AnnouncementBoard, ConcludesSilenceOnlyWhileItsViewIsTrusted)
+    {
+        AnnouncementBoard board { { .lease = Milliseconds { 4000 } } };
+        (void)board.observe(announcementOf(5, 1, AnnouncedState::Ready), {}, start);
+        const TimePoint later = start + Seconds { 5 };
+        EXPECT_TRUE(board.expire(false, later).empty());
+        EXPECT_EQ(board.expire(true, later), (std::vector { first }));
+        EXPECT_EQ(board.find(first)->state, AnnouncedState::Silent);
+        // The next announcement shows that it is alive.
+        EXPECT_EQ(board.observe(announcementOf(5, 2, AnnouncedState::Ready), {}, later), BoardOutcome::Changed);
+    }
+
+    // Guards against news that is lost for a reader that asks while announcements arrive.
+    TEST(AnnouncementBoard, GivesChangesInPagesAndRenewalsNotAtAll)
+    {
+        AnnouncementBoard board { {} };
+        for (std::uint64_t number = 1; number <= 5; ++number) {
+            Announcement announcement = announcementOf(5, 1, AnnouncedState::Ready);
+            announcement.number = UpstreamNumber { number };
+            (void)board.observe(announcement, {}, start);
+        }
+        std::uint64_t reached = 0;
+        EXPECT_EQ(board.changedSince(0, 3, reached, start).size(), 3U);
+        EXPECT_EQ(reached, 3U);
+        EXPECT_EQ(board.changedSince(reached, 3, reached, start).size(), 2U);
+        EXPECT_EQ(reached, board.lastChange());
+        Announcement renewed = announcementOf(5, 2, AnnouncedState::Ready);
+        renewed.number = UpstreamNumber { 1 };
+        EXPECT_EQ(board.observe(renewed, {}, start), BoardOutcome::Renewed);
+        EXPECT_TRUE(board.changedSince(reached, 3, reached, start).empty());
+    }
+
+    // Guards against the end of a cold start that moves with the time that an announcement was on its way.
+    TEST(AnnouncementBoard, CarriesTheEndOfAColdStartAsADuration)
+    {
+        AnnouncementBoard board { {} };
+        Announcement cold = announcementOf(5, 1, AnnouncedState::Ready);
+        cold.coldLeft = Milliseconds { 2000 };
+        (void)board.observe(cold, Milliseconds { 500 }, start);
+        const auto all = board.all(start + Milliseconds { 250 });
+        ASSERT_EQ(all.size(), 1U);
+        EXPECT_EQ(all[0].age, Milliseconds { 750 });
+        EXPECT_EQ(all[0].announcement.coldLeft, Milliseconds { 2000 });
+    }
+
+} // namespace
+} // namespace zinnia::upstream
