routing: hold packets until the first state, reset idle flows of a dead upstream

Cause: routers that had just started answered openings with a reset because they had no routes yet, and dropped packets of open flows; after a crash of upstreams, requests were still sent into idle flows of dead upstreams. Change: packets are held until a control instance's board was read whole; when repeated packets show that an upstream is dead, all its flows of this router are reset; copies less than 120 ms apart count as one; the compact state is worked out when asked for.

--- a/src/zinnia/routing/flow_router.cpp
+++ b/src/zinnia/routing/flow_router.cpp
@@ -71,6 +71,8 @@
 RoutingDecision FlowRouter::open(const FlowPacket& packet, TimePoint now)
 {
     const auto found = this->routeOf.find(packet.service);
+    if (found == this->routeOf.end() && !this->complete)
+        return { PacketAction::Hold, RoutingReason::NoState, nullptr };
     if (found == this->routeOf.end())
         return { PacketAction::Reset, RoutingReason::NoRoute, nullptr };
     const FlowId id { packet.caller, packet.service };
@@ -92,6 +94,8 @@
         }
     }
     Upstream* chosen = this->choose(this->current.routes[found->second], previous, now);
+    if (chosen == nullptr && !this->complete)
+        return { PacketAction::Hold, RoutingReason::NoState, nullptr };
     if (chosen == nullptr) {
         if (known != this->flows.end()) {
             this->end(known->second);
@@ -125,6 +129,8 @@
         = packet.token == RoutingToken {} && known != this->flows.end() ? known->second.token : packet.token;
     Upstream* upstream = this->upstreams.find(token);
     // The flow may be open at an upstream that this router has not heard of, so it is not reset.
+    if (upstream == nullptr && !this->complete)
+        return { PacketAction::Hold, RoutingReason::NoState, nullptr };
     if (upstream == nullptr)
         return { PacketAction::Drop, RoutingReason::UnknownToken, nullptr };
     if (known != this->flows.end() && known->second.token == RoutingToken {}) {
@@ -156,6 +162,8 @@
     if (this->isDead(known->second, *upstream, packet)) {
         this->end(known->second);
         this->flows.erase(known);
+        upstream->avoidUntil = now + this->settings.longestAvoidance;
+        this->resetFlowsOf(*upstream);
         return { PacketAction::Reset, RoutingReason::UpstreamDead, upstream };
     }
     return { PacketAction::Forward, RoutingReason::None, upstream };
@@ -185,7 +193,7 @@
         flow.repeats = 0;
         if (!std::exchange(flow.waiting, true))
             ++upstream.requests;
-    } else if (packet.sequence == flow.sequence) {
+    } else if (packet.sequence == flow.sequence && now - flow.sentAt >= this->settings.shortestRepeat) {
         ++flow.repeats;
         if (upstream.answeredAt < flow.sentAt && !std::exchange(flow.stalled, true))
             ++upstream.stalledFlows;
@@ -232,6 +240,20 @@
     return upstream.stalledFlows >= this->settings.stalledFlows || flow.repeats >= this->settings.repeats;
 }
 
+void FlowRouter::resetFlowsOf(const Upstream& upstream)
+{
+    for (auto flow = this->flows.begin(); flow != this->flows.end();) {
+        if (flow->second.token != upstream.token || !flow->second.established) {
+            ++flow;
+            continue;
+        }
+        this->resets.push_back(
+            { flow->first.caller, flow->first.service, flow->second.acknowledged, upstream.announced.number });
+        this->end(flow->second);
+        flow = this->flows.erase(flow);
+    }
+}
+
 Upstream* FlowRouter::choose(const feed::CompactRoute& route, const Flow* previous, TimePoint now)
 {
     std::uint64_t total = 0;
--- a/src/zinnia/routing/flow_router.hpp
+++ b/src/zinnia/routing/flow_router.hpp
@@ -13,6 +13,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace zinnia::routing {
@@ -35,17 +36,23 @@
     std::uint32_t stalledFlows = 2;
     /** Repeated packets of a single flow with the same meaning. */
     std::uint32_t repeats = 3;
+    /**
+     * A packet counts as repeated only this long after its first copy. Callers repeat after 200 ms; copies that come
+     * closer together were held up on their way, or here.
+     */
+    Milliseconds shortestRepeat { 120 };
     /** A zone that was put back takes new flows after this time, when announcements tell whether it is cold. */
     Milliseconds returnDelay { 2000 };
 };
 
 /** @brief What to do with a packet. */
-enum class PacketAction : std::uint8_t { Forward, Reset, Drop };
+enum class PacketAction : std::uint8_t { Forward, Reset, Drop, Hold };
 
-inline constexpr NameTable<PacketAction, 3> packetActionNames { {
+inline constexpr NameTable<PacketAction, 4> packetActionNames { {
     { PacketAction::Forward, "forward" },
     { PacketAction::Reset, "reset" },
     { PacketAction::Drop, "drop" },
+    { PacketAction::Hold, "hold" },
 } };
 static_assert(isDense(packetActionNames));
 
@@ -63,9 +70,10 @@
     UpstreamGone,
     UpstreamDead,
     CopyMoved,
+    NoState,
 };
 
-inline constexpr NameTable<RoutingReason, 7> routingReasonNames { {
+inline constexpr NameTable<RoutingReason, 8> routingReasonNames { {
     { RoutingReason::None, "none" },
     { RoutingReason::NoRoute, "no_route" },
     { RoutingReason::NoUpstream, "no_upstream" },
@@ -73,6 +81,7 @@
     { RoutingReason::UpstreamGone, "upstream_gone" },
     { RoutingReason::UpstreamDead, "upstream_dead" },
     { RoutingReason::CopyMoved, "copy_moved" },
+    { RoutingReason::NoState, "no_state" },
 } };
 static_assert(isDense(routingReasonNames));
 
@@ -81,6 +90,15 @@
     return nameIn(routingReasonNames, reason);
 }
 
+/** @brief A flow to be reset at its caller, although no packet of it has just arrived. */
+struct FlowReset {
+    Endpoint caller;
+    Endpoint service;
+    /** Next sequence number that the caller expects. */
+    std::uint32_t acknowledged {};
+    upstream::UpstreamNumber upstream;
+};
+
 /** @brief Result for one packet. */
 struct RoutingDecision {
     PacketAction action {};
@@ -103,7 +121,16 @@
     /** @brief Adopts routes and withdrawn zones if they are newer. @return Whether they were. */
     bool adopt(const feed::RoutingState& state, TimePoint now);
     bool merge(const std::vector<upstream::AgedAnnouncement>& announcements, TimePoint now);
+    /** @brief Tells that everything that a control instance knows was merged once; until then packets are held. */
+    void setComplete() noexcept { this->complete = true; }
     [[nodiscard]] RoutingDecision route(const FlowPacket& packet, TimePoint now);
+    /**
+     * @brief Takes the flows of upstreams that were found to be dead since the last call.
+     *
+     * Their callers learn of it before they send the next request, which for a non-idempotent one is the difference
+     * between a new flow and an unknown outcome.
+     */
+    [[nodiscard]] std::vector<FlowReset> takeResets() { return std::exchange(this->resets, {}); }
     /** @brief Forgets ended flows and upstreams; to be called about once a second. */
     void expire(TimePoint now);
 
@@ -151,6 +178,7 @@
     void answered(Flow& flow, Upstream& upstream, TimePoint now);
     void end(Flow& flow);
     [[nodiscard]] bool isDead(const Flow& flow, const Upstream& upstream, const FlowPacket& packet) const;
+    void resetFlowsOf(const Upstream& upstream);
     [[nodiscard]] Upstream* choose(const feed::CompactRoute& route, const Flow* previous, TimePoint now);
     [[nodiscard]] Upstream* chooseOf(const std::string& service, const Flow* previous, TimePoint now);
     [[nodiscard]] Upstream* leastLoaded(const Candidates& candidates);
@@ -160,6 +188,8 @@
     FlowRouterSettings settings;
     std::mt19937_64 random;
     feed::RoutingState current;
+    bool complete {};
+    std::vector<FlowReset> resets;
     std::unordered_map<Endpoint, std::size_t> routeOf;
     std::unordered_set<std::string> withdrawn;
     std::vector<ReturnedZone> returned;
--- a/src/zinnia/runtime/fleet_log.cpp
+++ b/src/zinnia/runtime/fleet_log.cpp
@@ -22,10 +22,10 @@
         log(Event::ZoneStateApplied, Field { "index", index }, Field { "zone", zone->zone },
             Field { "withdrawn", zone->withdrawn }, Field { "outcome", outcome });
     if (outcome == config::FleetOutcome::Changed)
-        this->refresh(index);
+        this->lastChange = index;
 }
 
-Bytes FleetLog::snapshot() const { return wire::encode(Snapshot { this->current, this->compacted.revision }); }
+Bytes FleetLog::snapshot() const { return wire::encode(Snapshot { this->current, this->lastChange }); }
 
 void FleetLog::restore(consensus::LogIndex index, BytesView bytes)
 {
@@ -35,13 +35,15 @@
         return;
     }
     this->current = std::move(snapshot.value().state);
-    this->refresh(snapshot.value().revision);
+    this->lastChange = snapshot.value().revision;
     log(Event::SnapshotRestored, Field { "index", index }, Field { "version", this->current.routes().version });
 }
 
-void FleetLog::refresh(consensus::LogIndex revision)
+const feed::RoutingState& FleetLog::routing() const
 {
-    this->compacted = feed::compact(this->current.routes(), this->current.withdrawnZones(), revision);
+    if (this->compacted.revision != this->lastChange)
+        this->compacted = feed::compact(this->current.routes(), this->current.withdrawnZones(), this->lastChange);
+    return this->compacted;
 }
 
 } // namespace zinnia::runtime
--- a/src/zinnia/runtime/fleet_log.hpp
+++ b/src/zinnia/runtime/fleet_log.hpp
@@ -20,7 +20,9 @@
 
     [[nodiscard]] const config::FleetState& state() const noexcept { return this->current; }
     /** @return What routers need of the state. Its revision is the index of the last command. */
-    [[nodiscard]] const feed::RoutingState& routing() const noexcept { return this->compacted; }
+    [[nodiscard]] const feed::RoutingState& routing() const;
+    /** @return The revision of `routing`, without working it out. */
+    [[nodiscard]] consensus::LogIndex revision() const noexcept { return this->lastChange; }
 
 private:
     struct Snapshot {
@@ -33,10 +35,10 @@
         }
     };
 
-    void refresh(consensus::LogIndex revision);
-
     config::FleetState current;
-    feed::RoutingState compacted;
+    consensus::LogIndex lastChange {};
+    /** Worked out when it is asked for: a replay of hundreds of records needs only the last one. */
+    mutable feed::RoutingState compacted;
 };
 
 } // namespace zinnia::runtime
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -24,6 +24,9 @@
     constexpr Milliseconds storageRetry { 1000 };
     /** After a restart of all replicas routers wait for an election: 100 to 200 ms in place of 500 to 1,000. */
     constexpr double firstElections = 0.2;
+    /** Each record holds a whole route table, so a restart reads few of them. */
+    constexpr std::uint64_t snapshotInterval = 64;
+    constexpr std::uint64_t trailingRecords = 32;
     /** Announcements in one datagram. */
     constexpr std::size_t announcementsPerReply = 100;
     /** File with what routers need after a restart of the whole fleet. */
@@ -118,6 +121,8 @@
     driver.replica.bootstrap = this->settings.bootstrap;
     driver.replica.targetVoters = this->settings.voters;
     driver.replica.firstElections = firstElections;
+    driver.replica.snapshotInterval = snapshotInterval;
+    driver.replica.trailingRecords = trailingRecords;
     driver.replica.founders = this->settings.member.seedIds();
     std::sort(driver.replica.founders.begin(), driver.replica.founders.end());
     driver.peers = this->replicaPeers();
@@ -354,8 +359,8 @@
 
 void FleetProcess::remember(TimePoint now)
 {
-    const bool changed = this->rememberedChange != this->board.lastChange()
-        || this->remembered.revision < this->log.routing().revision;
+    const bool changed
+        = this->rememberedChange != this->board.lastChange() || this->remembered.revision < this->log.revision();
     if (!changed || now < this->rememberDue)
         return;
     this->rememberDue = now + rememberInterval;
@@ -366,8 +371,7 @@
 
 const feed::RoutingState& FleetProcess::routing() const
 {
-    const feed::RoutingState& logged = this->log.routing();
-    return logged.revision < this->remembered.revision ? this->remembered : logged;
+    return this->log.revision() < this->remembered.revision ? this->remembered : this->log.routing();
 }
 
 void FleetProcess::gossip()
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -10,6 +10,10 @@
     /** The same until routes and upstreams are known. */
     constexpr Milliseconds firstFeedTick { 50 };
     constexpr Milliseconds expiryInterval { 1000 };
+    /** Packets that wait for the first routes; about 2 MB at most. */
+    constexpr std::size_t heldPackets = 1500;
+    /** Callers repeat a packet after 200 ms and give a request up soon after. */
+    constexpr Milliseconds longestHold { 400 };
     /** Batches read in one turn, so that timers and calls are not kept waiting under load. */
     constexpr int batchesEachTurn = 4;
 
@@ -54,6 +58,7 @@
         this->reasonCounters[static_cast<std::size_t>(row.value)]
             = &this->metrics.counter({ "zinnia_router_reasons_total", "reason", std::string { row.name } });
     this->malformed = &this->metrics.counter({ "zinnia_router_malformed_total" });
+    this->deadResets = &this->metrics.counter({ "zinnia_router_dead_upstream_resets_total" });
     this->openings = &this->metrics.counter({ "zinnia_router_openings_total" });
 }
 
@@ -103,12 +108,39 @@
         if (datagrams.empty())
             break;
         for (const ReceivedDatagram& datagram : datagrams)
-            this->handle(datagram.bytes);
+            this->handle(datagram.bytes, this->loop->now());
         this->sender.flush();
     }
 }
 
-void RouterProcess::handle(BytesView bytes)
+void RouterProcess::handleHeld()
+{
+    if (this->held.empty())
+        return;
+    for (const HeldPacket& packet : std::exchange(this->held, {})) {
+        if (this->loop->now() - packet.since < longestHold)
+            this->handle(packet.bytes, packet.since);
+    }
+    this->sender.flush();
+}
+
+void RouterProcess::sendResets()
+{
+    for (const auto& reset : this->router.takeResets()) {
+        routing::FlowPacket packet;
+        packet.caller = reset.caller;
+        packet.service = reset.service;
+        packet.acknowledged = reset.acknowledged;
+        const auto head = this->format->reset(packet);
+        this->sender.add(this->packets->descriptor(), Endpoint { reset.caller.address, this->settings.packets.port },
+            BytesView { head.bytes.data(), head.size }, {});
+        this->deadResets->add();
+        log(Event::FlowReset, Field { "caller", reset.caller }, Field { "service", reset.service },
+            Field { "reason", routing::RoutingReason::UpstreamDead }, Field { "upstream", reset.upstream });
+    }
+}
+
+void RouterProcess::handle(BytesView bytes, TimePoint since)
 {
     const auto packet = this->format->parse(bytes);
     if (!packet) {
@@ -131,8 +163,15 @@
         this->sender.add(descriptor, Endpoint { packet->caller.address, this->settings.packets.port },
             BytesView { head.bytes.data(), head.size }, {});
     }
+    if (decision.action == routing::PacketAction::Hold) {
+        if (this->held.size() < heldPackets)
+            this->held.push_back({ Bytes { bytes.begin(), bytes.end() }, since });
+        return;
+    }
     if (decision.reason != routing::RoutingReason::None)
         this->report(*packet, decision);
+    if (decision.reason == routing::RoutingReason::UpstreamDead)
+        this->sendResets();
 }
 
 void RouterProcess::report(const routing::FlowPacket& packet, const routing::RoutingDecision& decision)
@@ -168,6 +207,10 @@
     this->router.merge(news.announcements, now);
     if (const auto more = this->feed.receive(message.sender, news, this->router.state().revision, now))
         this->link->send(more->control, wire::MessageKind::FeedRequest, more->request);
+    // A whole board is enough to send packets on; that a leader has confirmed it matters for readiness only.
+    if (news.change >= news.lastChange && this->router.state().revision > 0)
+        this->router.setComplete();
+    this->handleHeld();
     if (!this->wasReady && this->isReady()) {
         this->wasReady = true;
         log(Event::RouterReady, Field { "revision", this->router.state().revision },
--- a/src/zinnia/runtime/router_process.hpp
+++ b/src/zinnia/runtime/router_process.hpp
@@ -46,8 +46,16 @@
     RouterProcess(const RouterSettings& settings, const PacketFormat& format, Epoch epoch, EventLoop& loop);
 
     [[nodiscard]] std::optional<RouterError> start(const ReadinessApi& api);
+    /** @brief A packet that waits until the router knows routes and upstreams. */
+    struct HeldPacket {
+        Bytes bytes;
+        TimePoint since;
+    };
+
     void receivePackets();
-    void handle(BytesView bytes);
+    void handle(BytesView bytes, TimePoint since);
+    void handleHeld();
+    void sendResets();
     void report(const routing::FlowPacket& packet, const routing::RoutingDecision& decision);
     void receiveFeed(const wire::OpenedMessage& message);
     void askControls();
@@ -62,6 +70,7 @@
     routing::FlowRouter router;
     feed::FeedClient feed;
     std::unique_ptr<UdpSocket> packets;
+    std::vector<HeldPacket> held;
     DatagramReceiver receiver;
     DatagramSender sender;
     std::unique_ptr<FleetLink> link;
@@ -71,6 +80,8 @@
     std::array<Counter*, routing::routingReasonNames.size()> reasonCounters {};
     Counter* malformed {};
     Counter* openings {};
+    /** Flows reset together with the one that showed that their upstream is dead. */
+    Counter* deadResets {};
     bool stopping {};
     bool wasReady {};
     bool inTouch {};
--- a/test/zinnia/routing/fixture.hpp
+++ b/test/zinnia/routing/fixture.hpp
@@ -46,6 +46,7 @@
     {
         (void)this->router.adopt(stateOf(1), this->now);
         (void)this->router.merge(announcements, this->now);
+        this->router.setComplete();
     }
 
     static FlowRouterSettings settingsOf(std::uint64_t seed)
--- a/test/zinnia/routing/flow_router_test.cpp
+++ b/test/zinnia/routing/flow_router_test.cpp
@@ -139,6 +139,60 @@
         EXPECT_EQ(dead.reason, RoutingReason::UpstreamDead);
     }
 
+    // Load: an upstream dies with many idle flows. Guards against non-idempotent requests that are sent into a flow
+    // whose upstream is known to be dead: their outcome would be unknown, while a new flow serves them.
+    TEST(FlowRouter, ResetsTheIdleFlowsOfADeadUpstreamToo)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        RoutingToken token;
+        for (std::uint16_t port = 1; port <= 10; ++port)
+            token = fixture.open(port);
+        fixture.now += Milliseconds { 10 };
+        for (const std::uint16_t port : { 1, 2 })
+            (void)fixture.send(Fixture::packetOf(port, token, 1000U * port + 1, 500, 100));
+        EXPECT_TRUE(fixture.router.takeResets().empty());
+        fixture.now += Milliseconds { 200 };
+        (void)fixture.send(Fixture::packetOf(1, token, 1001, 500, 100));
+        EXPECT_EQ(fixture.send(Fixture::packetOf(2, token, 2001, 500, 100)).reason, RoutingReason::UpstreamDead);
+        const auto resets = fixture.router.takeResets();
+        EXPECT_EQ(resets.size(), 9U);
+        for (const auto& reset : resets)
+            EXPECT_EQ(reset.acknowledged, 500U);
+        EXPECT_EQ(fixture.router.flowCount(), 0U);
+    }
+
+    // Guards against a router that wakes from a suspension, reads copies of packets at once, and takes every upstream
+    // for dead.
+    TEST(FlowRouter, CopiesThatArriveTogetherShowNoDeadUpstream)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        const RoutingToken token = fixture.open(1);
+        (void)fixture.open(2);
+        fixture.now += Seconds { 4 };
+        for (int copy = 0; copy < 4; ++copy) {
+            for (const std::uint16_t port : { 1, 2 })
+                EXPECT_EQ(fixture.send(Fixture::packetOf(port, token, 1000U * port + 1, 500, 100)).action,
+                    PacketAction::Forward);
+        }
+    }
+
+    // Guards against resets and losses while a router that has just started does not know routes and upstreams yet.
+    TEST(FlowRouter, HoldsPacketsUntilItKnowsWhatAControlInstanceKnows)
+    {
+        FlowRouter router { Fixture::settingsOf(1) };
+        const TimePoint now { Seconds { 1000 } };
+        const RoutingToken token = tokenOf(upstream::UpstreamNumber { 1 });
+        EXPECT_EQ(router.route(Fixture::openingOf(1), now).action, PacketAction::Hold);
+        EXPECT_EQ(router.route(Fixture::packetOf(2, token, 5, 5, 10), now).action, PacketAction::Hold);
+        (void)router.adopt(stateOf(1), now);
+        EXPECT_EQ(router.route(Fixture::openingOf(1), now).action, PacketAction::Hold);
+        (void)router.merge({ announce(1, "logger", "a") }, now);
+        EXPECT_EQ(router.route(Fixture::openingOf(1), now).action, PacketAction::Forward);
+        EXPECT_EQ(router.route(Fixture::openingOf(3, { 0xC6120009, 443 }), now).action, PacketAction::Hold);
+        router.setComplete();
+        EXPECT_EQ(router.route(Fixture::openingOf(3, { 0xC6120009, 443 }), now).action, PacketAction::Reset);
+    }
+
     // Guards against callers that wait for an upstream that has announced its departure.
     TEST(FlowRouter, ResetsFlowsOfADepartedUpstream)
     {
