--- a/src/zinnia/routing/flow_router.cpp
+++ b/src/zinnia/routing/flow_router.cpp
@@ -384,6 +384,11 @@
         return this->leastLoaded(own);
     if (!others.empty())
         return this->leastLoaded(others);
+    // A dead upstream is tried now and then; the other callers are refused at once and may try again later.
+    std::erase_if(avoided, [&](const Upstream* upstream) {
+        return upstream->dead && upstream->unansweredSince
+            && now - *upstream->unansweredSince < this->settings.lastResortPause;
+    });
     return this->leastLoaded(avoided);
 }
 
--- a/src/zinnia/routing/flow_router.hpp
+++ b/src/zinnia/routing/flow_router.hpp
@@ -44,6 +44,8 @@
     Milliseconds unansweredTime { 150 };
     /** A router that handled no packet for this long was idle or stood still, and does not judge by that time. */
     Milliseconds longestGap { 300 };
+    /** Time between two tries of a dead upstream while there is no other. */
+    Milliseconds lastResortPause { 250 };
     /**
      * Flows of one upstream that repeat packets without any answer of the upstream since, from which on it counts as
      * dead. One alone may have lost a packet.
--- a/test/zinnia/routing/flow_router_test.cpp
+++ b/test/zinnia/routing/flow_router_test.cpp
@@ -109,6 +109,36 @@
             EXPECT_NE(fixture.send(Fixture::openingOf(port)).upstream->token, first);
     }
 
+    // Load: a zone is cut off and all upstreams that it may use are in other zones. Guards against callers that wait
+    // for nothing until their deadlines, and against a slow return once the cut has healed.
+    TEST(FlowRouter, RefusesAtOnceWhileEveryUpstreamIsDeadAndFindsTheirReturnSoon)
+    {
+        Fixture fixture { { announce(1, "logger", "b"), announce(2, "logger", "c") } };
+        for (std::uint16_t port = 1; port <= 8; ++port)
+            (void)fixture.open(port);
+        int sent = 0;
+        int refused = 0;
+        std::uint16_t port = 9;
+        for (; port <= 309; ++port) {
+            fixture.now += Milliseconds { 10 };
+            FlowPacket opening = Fixture::openingOf(port);
+            opening.caller.address += port % 50;
+            const bool isRefused = fixture.send(opening).action == PacketAction::Reset;
+            (isRefused ? refused : sent) += port > 109 ? 1 : 0;
+        }
+        // In the last 2 s each of the two was tried at most every 0.25 s.
+        EXPECT_LE(sent, 16);
+        EXPECT_GE(refused, 180);
+        // The cut heals: the next tries are answered.
+        for (int i = 0; i < 30; ++i, ++port) {
+            fixture.now += Milliseconds { 10 };
+            const auto decision = fixture.send(Fixture::openingOf(port));
+            if (decision.action == PacketAction::Forward)
+                (void)fixture.send(Fixture::packetOf(port, decision.upstream->token, 1000U * port + 1, 500, 0));
+        }
+        EXPECT_EQ(fixture.send(Fixture::openingOf(port)).action, PacketAction::Forward);
+    }
+
     // Guards against a flow that moves to the upstream of another copy of its opening, which answered late: callers
     // return the token that came last.
     TEST(FlowRouter, AFlowStaysWhereItWasOpenedWhenTwoUpstreamsAnswer)
