routing: openings alone show a dead upstream only after a failed try

Change: a try after the pause has to stay unanswered too; the handshake time is taken as long until one was measured.

--- a/src/zinnia/routing/flow_router.cpp
+++ b/src/zinnia/routing/flow_router.cpp
@@ -292,6 +292,8 @@
 
 Microseconds FlowRouter::handshakeTimeout() const
 {
+    if (this->usualHandshake == Microseconds { 0 })
+        return this->settings.longestHandshake;
     return std::clamp<Microseconds>(this->settings.handshakeFactor * this->usualHandshake,
         this->settings.shortestHandshake, this->settings.longestHandshake);
 }
@@ -310,10 +312,11 @@
 
 bool FlowRouter::isDeadToOpenings(const Upstream& upstream, TimePoint now) const
 {
-    const auto& openings = upstream.unanswered;
-    return openings.size() >= this->settings.unansweredCallers
-        && now - openings.front().sentAt > this->settings.unansweredTime
-        && now - openings.back().sentAt > this->handshakeTimeout();
+    // When the platform changes the set of routers, the rest of some handshakes passes another one. Such openings look
+    // unanswered, so a later try has to stay without an answer too.
+    return upstream.failedTries >= this->settings.failedTries
+        && upstream.unanswered.size() >= this->settings.unansweredCallers && upstream.unansweredSince
+        && now - *upstream.unansweredSince > this->handshakeTimeout();
 }
 
 void FlowRouter::forgiveAfterPause(TimePoint now)
@@ -338,7 +341,8 @@
         this->end(flow->second);
         flow = this->flows.erase(flow);
     }
-    this->notes.push_back({ upstream.announced.number, true, this->resets.size() - before, now - upstream.answeredAt });
+    this->notes.push_back({ upstream.announced.number, true, this->resets.size() - before,
+        upstream.answeredAt == TimePoint {} ? std::nullopt : std::optional { now - upstream.answeredAt } });
 }
 
 Upstream* FlowRouter::choose(const feed::CompactRoute& route, const Flow* previous, TimePoint now)
--- a/src/zinnia/routing/flow_router.hpp
+++ b/src/zinnia/routing/flow_router.hpp
@@ -40,8 +40,8 @@
     /** Callers whose openings an upstream leaves unanswered, with no answer to anybody since, before it counts as dead.
      */
     std::size_t unansweredCallers = 2;
-    /** Time since the first of these openings. */
-    Milliseconds unansweredTime { 150 };
+    /** Times that it was tried again after a pause, also without an answer. */
+    std::uint32_t failedTries = 1;
     /** A router that handled no packet for this long was idle or stood still, and does not judge by that time. */
     Milliseconds longestGap { 300 };
     /** Time between two tries of a dead upstream while there is no other. */
@@ -136,8 +136,8 @@
     bool dead {};
     /** Flows reset with it. */
     std::size_t flows {};
-    /** Time since its last answer to this router. */
-    Microseconds silence {};
+    /** Time since its last answer to this router, if it has ever answered. */
+    std::optional<Microseconds> silence {};
 };
 
 /**
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -198,7 +198,7 @@
     for (const auto& note : this->router.takeNotes()) {
         if (note.dead)
             log(Event::UpstreamSuspected, Field { "upstream", note.upstream }, Field { "flows_reset", note.flows },
-                Field { "silent_us", note.silence });
+                Field { "silent_us", note.silence.value_or(Microseconds { -1 }) });
         else
             log(Event::UpstreamAnswersAgain, Field { "upstream", note.upstream });
     }
