--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 BUILD ?= build
 NAME ?= drain
 SEED ?= 1
+SEEDS ?= 1
+FIRST ?= 1
 
-.PHONY: all deps build check demo bench experiment lint sanitize format
+.PHONY: all deps build check demo bench experiment soak lint sanitize format
 
 all: build
 
@@ -26,6 +28,9 @@
 experiment: build
 	@scripts/experiment $(NAME) $(SEED)
 
+soak: build
+	@scripts/soak $(SEEDS) $(FIRST)
+
 lint: build
 	@scripts/check-format
 	@scripts/check-lint
--- a/src/zinnia/feed/feed_client.cpp
+++ b/src/zinnia/feed/feed_client.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-void FeedClient::setSeeds(std::vector<InstanceId> seeds)
+void FeedClient::setSeeds(const std::vector<InstanceId>& seeds)
 {
     for (auto& [id, control] : this->controls)
         control.seed = false;
--- a/src/zinnia/feed/feed_client.hpp
+++ b/src/zinnia/feed/feed_client.hpp
@@ -42,14 +42,14 @@
  */
 class FeedClient {
 public:
-    FeedClient(const FeedClientSettings& settings, std::vector<InstanceId> seeds)
+    FeedClient(const FeedClientSettings& settings, const std::vector<InstanceId>& seeds)
         : settings { settings }
     {
-        this->setSeeds(std::move(seeds));
+        this->setSeeds(seeds);
     }
 
     /** @brief Replaces the addresses to start from; known control instances stay known. */
-    void setSeeds(std::vector<InstanceId> seeds);
+    void setSeeds(const std::vector<InstanceId>& seeds);
 
     /** @return The requests that are due. */
     [[nodiscard]] std::vector<OutgoingRequest> tick(std::uint64_t revision, TimePoint now);
--- a/src/zinnia/runtime/fleet_link.cpp
+++ b/src/zinnia/runtime/fleet_link.cpp
@@ -5,20 +5,20 @@
 namespace zinnia::runtime {
 
 Result<std::unique_ptr<FleetLink>, SocketError> FleetLink::create(
-    Poller& poller, const Endpoint& local, const ClusterSettings& cluster, wire::Sealer& sealer, Handler handler)
+    Poller& poller, const FleetMember& member, const ClusterSettings& cluster, wire::Sealer& sealer, Handler handler)
 {
-    auto socket = UdpSocket::bind(local);
+    auto socket = UdpSocket::bind({ member.address, member.ports.feed });
     if (!socket)
         return socket.error();
     return std::unique_ptr<FleetLink> { new FleetLink {
-        poller, std::move(socket).value(), cluster, sealer, std::move(handler) } };
+        poller, member, std::move(socket).value(), cluster, sealer, std::move(handler) } };
 }
 
-FleetLink::FleetLink(
-    Poller& poller, UdpSocket socket, const ClusterSettings& cluster, wire::Sealer& sealer, Handler handler)
+FleetLink::FleetLink(Poller& poller, const FleetMember& member, UdpSocket socket, const ClusterSettings& cluster,
+    wire::Sealer& sealer, Handler handler)
     : poller { &poller }
     , socket { std::move(socket) }
-    , port { this->socket.localAddress().port }
+    , member { &member }
     , sealer { &sealer }
     , opener { cluster.key, cluster.id, false }
     , handler { std::move(handler) }
--- a/src/zinnia/runtime/fleet_link.hpp
+++ b/src/zinnia/runtime/fleet_link.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "zinnia/core/result.hpp"
-#include "zinnia/runtime/cluster_settings.hpp"
 #include "zinnia/runtime/datagram_batch.hpp"
+#include "zinnia/runtime/fleet_settings.hpp"
 #include "zinnia/runtime/poller.hpp"
 #include "zinnia/runtime/udp_socket.hpp"
 #include "zinnia/wire/archive.hpp"
@@ -19,9 +19,9 @@
     /** @brief Handles a message whose seal is valid; the body is valid during the call. */
     using Handler = std::function<void(const wire::OpenedMessage& message, const Endpoint& source)>;
 
-    /** @param poller, sealer Have to outlive the link. */
-    [[nodiscard]] static Result<std::unique_ptr<FleetLink>, SocketError> create(
-        Poller& poller, const Endpoint& local, const ClusterSettings& cluster, wire::Sealer& sealer, Handler handler);
+    /** @param poller, member, sealer Have to outlive the link. */
+    [[nodiscard]] static Result<std::unique_ptr<FleetLink>, SocketError> create(Poller& poller,
+        const FleetMember& member, const ClusterSettings& cluster, wire::Sealer& sealer, Handler handler);
     ~FleetLink();
     FleetLink(const FleetLink&) = delete;
     FleetLink& operator=(const FleetLink&) = delete;
@@ -29,7 +29,8 @@
     /** @brief Sends to the feed port of an instance, without a guarantee of arrival. */
     template <class Message> void send(InstanceId to, wire::MessageKind kind, const Message& message)
     {
-        this->sendBytes(Endpoint { to.value, this->port }, kind, wire::encode(message));
+        this->sendBytes(
+            Endpoint { this->member->addressOf(to), this->member->ports.feed }, kind, wire::encode(message));
     }
     template <class Message> void reply(const Endpoint& to, wire::MessageKind kind, const Message& message)
     {
@@ -37,13 +38,14 @@
     }
 
 private:
-    FleetLink(Poller& poller, UdpSocket socket, const ClusterSettings& cluster, wire::Sealer& sealer, Handler handler);
+    FleetLink(Poller& poller, const FleetMember& member, UdpSocket socket, const ClusterSettings& cluster,
+        wire::Sealer& sealer, Handler handler);
     void receive();
     void sendBytes(const Endpoint& to, wire::MessageKind kind, BytesView body);
 
     Poller* poller;
     UdpSocket socket;
-    std::uint16_t port;
+    const FleetMember* member;
     wire::Sealer* sealer;
     wire::Opener opener;
     Handler handler;
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -86,8 +86,7 @@
     if (!server)
         return FleetError::StreamAddress;
     this->streams = std::move(server.value());
-    auto opened = FleetLink::create(*this->loop, { this->settings.member.address, this->settings.member.ports.feed },
-        this->settings.cluster, this->sealer,
+    auto opened = FleetLink::create(*this->loop, this->settings.member, this->settings.cluster, this->sealer,
         [this](const wire::OpenedMessage& message, const Endpoint& source) { this->receive(message, source); });
     if (!opened)
         return FleetError::FeedAddress;
@@ -154,7 +153,8 @@
 {
     std::vector<ReplicaPeer> peers;
     for (const auto& peer : this->roster.peers())
-        peers.push_back({ peer, Endpoint { peer.value, this->settings.member.ports.stream } });
+        peers.push_back(
+            { peer, Endpoint { this->settings.member.addressOf(peer), this->settings.member.ports.stream } });
     return peers;
 }
 
--- a/src/zinnia/runtime/fleet_settings.cpp
+++ b/src/zinnia/runtime/fleet_settings.cpp
@@ -8,6 +8,15 @@
 
     constexpr Range<std::int64_t> portRange { 1, std::numeric_limits<std::uint16_t>::max() };
 
+    std::uint32_t addressIn(TableReader& table, std::string_view key)
+    {
+        const std::string text = table.text(key);
+        const auto parsed = Endpoint::parse(text + ":1");
+        if (!parsed)
+            table.reject(key, text, "an IPv4 address");
+        return parsed ? parsed->address : 0;
+    }
+
     std::uint16_t portOf(TableReader& table, std::string_view key)
     {
         return static_cast<std::uint16_t>(table.integer(key, portRange));
@@ -23,17 +32,18 @@
     return ids;
 }
 
+std::uint32_t FleetMember::addressOf(InstanceId instance) const
+{
+    const auto found = this->translations.find(instance);
+    return found == this->translations.end() ? instance.value : found->second;
+}
+
 FleetMember readFleetMember(TableReader& root)
 {
     FleetMember member;
     TableReader instance = root.table("instance");
     member.name = instance.text("name");
-    const std::string address = instance.text("address");
-    const auto parsed = Endpoint::parse(address + ":1");
-    if (parsed)
-        member.address = parsed->address;
-    else
-        instance.reject("address", address, "an IPv4 address");
+    member.address = addressIn(instance, "address");
     member.zone = instance.text("zone");
     TableReader ports = root.table("ports");
     member.ports.feed = portOf(ports, "feed");
@@ -41,6 +51,10 @@
     member.ports.metrics = static_cast<std::uint16_t>(ports.integer("metrics", { 0, portRange.most }, 0));
     TableReader discovery = root.table("discovery");
     member.seeds = discovery.endpoints("seeds");
+    for (TableReader& table : root.tables("translation")) {
+        const InstanceId translated { addressIn(table, "instance") };
+        member.translations.insert_or_assign(translated, addressIn(table, "reached_at"));
+    }
     return member;
 }
 
@@ -55,7 +69,7 @@
     TableReader storage = root.table("storage");
     settings.folder = storage.text("folder");
     settings.bootstrap = storage.boolean("bootstrap", false);
-    TableReader group = root.table("group");
+    TableReader group = root.table("group", true);
     // A group of 2n + 1 voters bears the loss of n.
     settings.voters = 2 * static_cast<std::size_t>(group.integer("lost_instances", { 0, 3 }, 1)) + 1;
     TableReader upstreams = root.table("upstreams");
--- a/src/zinnia/runtime/fleet_settings.hpp
+++ b/src/zinnia/runtime/fleet_settings.hpp
@@ -5,6 +5,7 @@
 #include "zinnia/runtime/cluster_settings.hpp"
 #include "zinnia/runtime/log_settings.hpp"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -29,9 +30,13 @@
     FleetPorts ports;
     /** Control addresses of some control instances. */
     std::vector<Endpoint> seeds;
+    /** Addresses at which instances are reached from here, where they differ from their own (address translation). */
+    std::map<InstanceId, std::uint32_t> translations;
 
     [[nodiscard]] InstanceId id() const noexcept { return InstanceId { this->address }; }
     [[nodiscard]] std::vector<InstanceId> seedIds() const;
+    /** @return The IPv4 address at which an instance is reached. */
+    [[nodiscard]] std::uint32_t addressOf(InstanceId instance) const;
 };
 
 /** @brief Settings of `zinnia-fleet`. */
@@ -52,7 +57,7 @@
     LogSettings log;
 };
 
-/** @brief Reads the tables "instance", "ports" and the key "discovery.seeds". */
+/** @brief Reads the tables "instance", "ports", "discovery" and the array of tables "translation". */
 [[nodiscard]] FleetMember readFleetMember(TableReader& root);
 /** @brief Reads the settings of `zinnia-fleet` from the root table. */
 [[nodiscard]] FleetSettings readFleetSettings(TableReader& root);
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -75,7 +75,7 @@
 std::optional<RouterError> RouterProcess::start(const ReadinessApi& api)
 {
     const Endpoint feedAddress { this->settings.member.address, this->settings.member.ports.feed };
-    auto opened = FleetLink::create(*this->loop, feedAddress, this->settings.cluster, this->sealer,
+    auto opened = FleetLink::create(*this->loop, this->settings.member, this->settings.cluster, this->sealer,
         [this](const wire::OpenedMessage& message, const Endpoint&) { this->receiveFeed(message); });
     if (!opened)
         return RouterError { "ports.feed", feedAddress, opened.error() };
