--- a/src/zinnia/core/event.hpp
+++ b/src/zinnia/core/event.hpp
@@ -116,6 +116,7 @@
     TornRecordDropped = 1614,
     LogConflict = 1615,
     SnapshotTooLarge = 1616,
+    FolderAbandoned = 1617,
     MessageRefused = 1700,
     CoapMessageRefused = 1701,
     ProxyHeaderRefused = 1702,
@@ -279,6 +280,8 @@
         Event::LogConflict, LogLevel::Error, "LogConflict", "a message contradicts committed records and was dropped" },
     EventRow { Event::SnapshotTooLarge, LogLevel::Error, "SnapshotTooLarge",
         "the state is too large for a snapshot; records are kept" },
+    EventRow { Event::FolderAbandoned, LogLevel::Error, "FolderAbandoned",
+        "the data folder is damaged; its files were removed and the instance joins under a new identity" },
     EventRow { Event::MessageRefused, LogLevel::Warning, "MessageRefused", "a message was refused" },
     EventRow {
         Event::CoapMessageRefused, LogLevel::Debug, "CoapMessageRefused", "a datagram was not a valid CoAP message" },
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -141,14 +141,30 @@
     auto created
         = ReplicaDriver::create(*this->loop, *this->files, this->sealer, std::move(driver), std::move(application));
     if (!created) {
-        if (created.error().cause == ReplicaDriverError::Cause::Storage)
-            runtime::log(Event::StorageFailed, Field { "cause", created.error().storage });
+        const ReplicaDriverError& error = created.error();
+        if (error.cause != ReplicaDriverError::Cause::Storage)
+            return FleetError::Replica;
+        runtime::log(Event::StorageFailed, Field { "cause", error.storage });
+        if (isDamage(error.storage) && this->abandonFolder(error.storage))
+            return this->startReplica();
         return FleetError::Replica;
     }
     this->replica = std::move(created.value());
     return std::nullopt;
 }
 
+bool FleetProcess::abandonFolder(StorageError cause)
+{
+    // An instance without others has the only copy, which people may be able to read.
+    if (this->roster.peers().empty())
+        return false;
+    this->settings.bootstrap = false;
+    if (!clearFolder(*this->files))
+        return false;
+    runtime::log(Event::FolderAbandoned, Field { "cause", cause });
+    return true;
+}
+
 std::vector<ReplicaPeer> FleetProcess::replicaPeers() const
 {
     std::vector<ReplicaPeer> peers;
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -73,6 +73,11 @@
 
     [[nodiscard]] std::optional<FleetError> start(const HttpApi& api);
     [[nodiscard]] std::optional<FleetError> startReplica();
+    /**
+     * @brief Gives up a damaged folder: the others have the log, and a learner under a new identity gets it from them.
+     * @return Whether the folder is empty now.
+     */
+    [[nodiscard]] bool abandonFolder(StorageError cause);
     [[nodiscard]] std::vector<ReplicaPeer> replicaPeers() const;
     [[nodiscard]] std::optional<Bytes> answerStream(BytesView sealed);
     void receive(const wire::OpenedMessage& message, const Endpoint& source);
--- a/src/zinnia/runtime/log_storage.cpp
+++ b/src/zinnia/runtime/log_storage.cpp
@@ -44,6 +44,17 @@
 
 } // namespace
 
+Result<void, StorageError> clearFolder(FileSystem& files)
+{
+    const auto names = files.list();
+    if (!names)
+        return StorageError::Unreadable;
+    for (const auto& name : names.value()) {
+        BOOST_OUTCOME_TRY(checkWrite(files.remove(name)));
+    }
+    return checkWrite(files.syncFolder());
+}
+
 Result<LogStorage, StorageError> LogStorage::open(FileSystem& files, ClusterId cluster)
 {
     LogStorage storage { files, cluster };
--- a/src/zinnia/runtime/log_storage.hpp
+++ b/src/zinnia/runtime/log_storage.hpp
@@ -47,6 +47,16 @@
     return nameIn(storageErrorNames, error);
 }
 
+/** @return Whether the content of the folder is damaged, so that opening it again would fail in the same way. */
+[[nodiscard]] constexpr bool isDamage(StorageError error) noexcept
+{
+    return error == StorageError::CorruptRecord || error == StorageError::CorruptMetadata
+        || error == StorageError::CorruptSnapshot || error == StorageError::MissingRecords;
+}
+
+/** @brief Removes all files of a folder, so that it is like that of an instance that has lost its disk. */
+[[nodiscard]] Result<void, StorageError> clearFolder(FileSystem& files);
+
 /**
  * @brief Durable storage of a replica in one folder: segments of records, metadata and a snapshot.
  *
--- a/test/platform/soak/links.py
+++ b/test/platform/soak/links.py
@@ -20,9 +20,15 @@
 
     async def open(self):
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: _Forward(self), local_addr=(self.alias, self.ports[0]))
-        await asyncio.start_server(self._accept, self.alias, self.ports[1])
-        return self
+        _, self.datagrams = await loop.create_datagram_endpoint(
+            lambda: _Forward(self), local_addr=(self.alias, self.ports[0]))
+        self.streams = await asyncio.start_server(self._accept, self.alias, self.ports[1])
+
+    def close(self):
+        """Closes all sockets, so that the next world can use the addresses."""
+        self.reset_streams()
+        self.streams.close()
+        self.datagrams.close()
 
     def reset_streams(self):
         """Resets every open stream of the link."""
@@ -75,6 +81,10 @@
     def connection_made(self, transport):
         self.transport = transport
 
+    def close(self):
+        for transport in (self.transport, *self.ways.values()):
+            transport.close()
+
     def datagram_received(self, data, source):
         if not self.link.cut_forward:
             asyncio.get_running_loop().create_task(self._send(data, source))
@@ -86,7 +96,8 @@
             way, _ = await asyncio.get_running_loop().create_datagram_endpoint(
                 lambda: _Back(self, source), remote_addr=(self.link.target, self.link.ports[0]))
             self.ways[source] = way
-        self.ways[source].sendto(data)
+        if not self.ways[source].is_closing():
+            self.ways[source].sendto(data)
 
 
 class _Back(asyncio.DatagramProtocol):
@@ -98,7 +109,11 @@
     def datagram_received(self, data, _):
         link = self.forward.link
         if not link.cut_back:
-            asyncio.get_running_loop().call_later(link.delay, self.forward.transport.sendto, data, self.source)
+            asyncio.get_running_loop().call_later(link.delay, self._send, data)
+
+    def _send(self, data):
+        if not self.forward.transport.is_closing():
+            self.forward.transport.sendto(data, self.source)
 
     def error_received(self, _):
         """The target is down; a datagram has no answer then."""
--- a/test/platform/soak/soak.py
+++ b/test/platform/soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Randomized fault soak: real processes on loopback, faults from outside, promises checked while it runs.
 
-Usage: soak.py --programs DIR [--seeds N] [--first SEED] [--seconds S] [--folder DIR]
+Usage: soak.py --programs DIR [--seeds N] [--first SEED] [--seconds S] [--folder DIR] [--network N]
 """
 
 import argparse
@@ -163,11 +163,11 @@
             await asyncio.sleep(0.5)
 
 
-async def play(seed, seconds, folder, programs):
+async def play(seed, seconds, folder, programs, network):
     """Plays one seed. Returns the checks and the count of each fault."""
-    source = random.Random(seed)
+    schedule = random.Random(seed)  # apart from the traffic, whose draws depend on the machine's speed
     checks = Checks()
-    world = World(source, checks, folder, programs)
+    world = World(random.Random(f"traffic {seed}"), checks, folder, programs, network)
     faults = Faults(world)
     injected = {}
     running = set()
@@ -175,12 +175,12 @@
         await asyncio.wait_for(world.start(), START_LIMIT)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            fault = source.choice(faults.all())
+            fault = schedule.choice(faults.all())
             injected[fault.__name__[6:]] = injected.get(fault.__name__[6:], 0) + 1
             task = asyncio.create_task(fault())
             running.add(task)
             task.add_done_callback(running.discard)
-            await asyncio.sleep(source.uniform(0.2, 2.5))
+            await asyncio.sleep(schedule.uniform(0.2, 2.5))
         for done in await asyncio.gather(*list(running), return_exceptions=True):
             if isinstance(done, BaseException):
                 raise done
@@ -204,12 +204,14 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--folder", type=Path)
+    parser.add_argument("--network", type=int, default=30, help="second number of the loopback addresses")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
         folder = options.folder or Path(tempfile.mkdtemp(prefix="zinnia-soak-"))
         started = time.monotonic()
-        checks, injected = asyncio.run(play(seed, options.seconds, folder / str(seed), options.programs.resolve()))
+        checks, injected = asyncio.run(play(seed, options.seconds, folder / str(seed), options.programs.resolve(),
+                                             options.network))
         print(f"seed {seed}: {'FAILED' if checks.violations else 'passed'} in {time.monotonic() - started:.0f} s; "
               + ", ".join(f"{count} {name}" for name, count in sorted(checks.counts.items())))
         print("  injected: " + ", ".join(f"{count} {name}" for name, count in sorted(injected.items())))
--- a/test/platform/soak/traffic.py
+++ b/test/platform/soak/traffic.py
@@ -114,6 +114,11 @@
         self.port = 1024
         self.inbox = asyncio.Queue()
         self.flow = None
+        self.transport = None
+
+    def close(self):
+        if self.transport:
+            self.transport.close()
 
     async def run(self):
         self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
--- a/test/platform/soak/world.py
+++ b/test/platform/soak/world.py
@@ -96,7 +96,8 @@
 
 class World:
 
-    def __init__(self, random, checks, folder, programs):
+    def __init__(self, random, checks, folder, programs, network):
+        """@param network: second number of the loopback addresses, so that several worlds run side by side."""
         self.random = random
         self.checks = checks
         self.folder = folder
@@ -104,21 +105,21 @@
         self.http_port = HTTP
         self.over = False
         self.served = []
-        self.controls = [f"127.30.1.{i + 1}" for i in range(3)]
+        self.controls = [f"127.{network}.1.{i + 1}" for i in range(3)]
         self.fleets = [Process(self, "zinnia-fleet", i, ZONES[i], self.controls[i]) for i in range(3)]
-        self.routers = [Process(self, "zinnia-router", i, ZONES[i // 2], f"127.30.2.{i + 1}") for i in range(6)]
+        self.routers = [Process(self, "zinnia-router", i, ZONES[i // 2], f"127.{network}.2.{i + 1}") for i in range(6)]
         self.processes = self.fleets + self.routers
         self.links = {}
         for source_index, source in enumerate(self.processes):
             for target_index, target in enumerate(self.fleets):
                 if source is not target:
-                    self.links[source, target] = Link(f"127.30.{100 + source_index}.{target_index + 1}",
+                    self.links[source, target] = Link(f"127.{network}.{100 + source_index}.{target_index + 1}",
                                                       target.address, FEED, STREAM)
         self.upstreams = []
         for i in range(9):
             service = "logger" if i < 6 else "archive"
-            self.upstreams.append(Upstream(self, f"127.30.3.{i + 1}", service, ZONES[i % 3]))
-        self.callers = [Caller(self, f"127.30.4.{i + 1}", ZONES[i % 3]) for i in range(12)]
+            self.upstreams.append(Upstream(self, f"127.{network}.3.{i + 1}", service, ZONES[i % 3]))
+        self.callers = [Caller(self, f"127.{network}.4.{i + 1}", ZONES[i % 3]) for i in range(12)]
         self.tasks = []
         self.version = 0
 
@@ -202,9 +203,14 @@
             task.cancel()
         for upstream in self.upstreams:
             upstream.crash()
+        for caller in self.callers:
+            caller.close()
         for process in self.processes:
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
         for process in self.processes:
             if not await process.wait(6.0):
                 self.checks.violation("stop", f"{process.name} was still there 6 s after SIGTERM")
+        for link in self.links.values():
+            link.close()
+        await asyncio.sleep(0.1)
--- a/test/zinnia/runtime/log_storage_test.cpp
+++ b/test/zinnia/runtime/log_storage_test.cpp
@@ -211,6 +211,22 @@
         }
     }
 
+    // Guards against an instance that can never start again because its folder is damaged: cleared, it is like new.
+    TEST(LogStorage, ADamagedFolderCanBeClearedAndUsedAgain)
+    {
+        test::FakeFolder folder;
+        folder.names["replica"] = std::make_shared<test::FakeFolder::Content>();
+        const auto damaged = LogStorage::open(folder, ClusterId { 1 });
+        ASSERT_FALSE(damaged);
+        EXPECT_TRUE(isDamage(damaged.error()));
+        EXPECT_FALSE(isDamage(StorageError::NoSpace));
+        EXPECT_FALSE(isDamage(StorageError::ForeignCluster));
+        ASSERT_TRUE(clearFolder(folder));
+        auto opened = LogStorage::open(folder, ClusterId { 1 });
+        ASSERT_TRUE(opened);
+        EXPECT_FALSE(opened.value().takeState().hard);
+    }
+
     // Guards against a mistake in the calls to the system, and against two processes in one folder.
     TEST(LogStorage, WorksOnARealFolder)
     {
