--- /dev/null
+++ b/src/zinnia/routing/flow_router_choice.cpp
@@ -0,0 +1,149 @@
+#include "zinnia/routing/flow_router.hpp"
+
+#include <algorithm>
+
+namespace zinnia::routing {
+
+using upstream::AnnouncedState;
+
+void FlowRouter::noteOpening(Upstream& upstream, const Endpoint& caller, TimePoint now)
+{
+    if (!upstream.unansweredSince) {
+        upstream.unansweredSince = now;
+    } else if (now - *upstream.unansweredSince > this->handshakeTimeout()) {
+        // A try after the time of avoidance: the next one is due later.
+        ++upstream.failedTries;
+        upstream.unansweredSince = now;
+    }
+    auto& openings = upstream.unanswered;
+    const bool isNew = std::none_of(openings.begin(), openings.end(),
+        [&](const UnansweredOpening& opening) { return opening.caller == caller.address; });
+    if (isNew && openings.size() < this->settings.unansweredCallers)
+        openings.push_back({ caller.address, now });
+}
+
+void FlowRouter::noteHandshake(Microseconds duration)
+{
+    constexpr std::int64_t smoothing = 8;
+    if (duration > this->settings.longestHandshake)
+        return;
+    this->usualHandshake
+        += this->usualHandshake == Microseconds { 0 } ? duration : (duration - this->usualHandshake) / smoothing;
+}
+
+Microseconds FlowRouter::handshakeTimeout() const
+{
+    if (this->usualHandshake == Microseconds { 0 })
+        return this->settings.longestHandshake;
+    return std::clamp<Microseconds>(this->settings.handshakeFactor * this->usualHandshake,
+        this->settings.shortestHandshake, this->settings.longestHandshake);
+}
+
+bool FlowRouter::isAvoided(const Upstream& upstream, TimePoint now) const
+{
+    if (!upstream.unansweredSince)
+        return false;
+    const Microseconds since = now - *upstream.unansweredSince;
+    const auto doublings = std::min<std::uint32_t>(upstream.failedTries, 8);
+    const Microseconds pause = std::min<Microseconds>(
+        this->settings.avoidance * (std::int64_t { 1 } << doublings), this->settings.longestAvoidance);
+    // A second try waits for the next pause, also while the answer to the first may still come.
+    return since < pause && (upstream.failedTries > 0 || since > this->handshakeTimeout());
+}
+
+bool FlowRouter::isDeadToOpenings(const Upstream& upstream, TimePoint now) const
+{
+    // When the platform changes the set of routers, the rest of some handshakes passes another one. Such openings look
+    // unanswered, so a later try has to stay without an answer too.
+    return upstream.failedTries >= this->settings.failedTries
+        && upstream.unanswered.size() >= this->settings.unansweredCallers && upstream.unansweredSince
+        && now - *upstream.unansweredSince > this->handshakeTimeout();
+}
+
+Upstream* FlowRouter::choose(const feed::CompactRoute& route, const Flow* previous, TimePoint now)
+{
+    std::uint64_t total = 0;
+    for (const auto weight : route.weights)
+        total += weight;
+    if (total == 0)
+        return nullptr;
+    auto point = std::uniform_int_distribution<std::uint64_t> { 0, total - 1 }(this->random);
+    std::size_t first = 0;
+    while (point >= route.weights[first])
+        point -= route.weights[first++];
+    Upstream* chosen = this->chooseOf(this->current.services[route.services[first]].name, previous, now);
+    // A service without upstreams leaves its share to the others of the route.
+    for (std::size_t i = 0; chosen == nullptr && i < route.services.size(); ++i) {
+        if (i != first && route.weights[i] > 0)
+            chosen = this->chooseOf(this->current.services[route.services[i]].name, previous, now);
+    }
+    return chosen;
+}
+
+Upstream* FlowRouter::chooseOf(const std::string& service, const Flow* previous, TimePoint now)
+{
+    Candidates own;
+    Candidates others;
+    Candidates avoided;
+    for (Upstream* upstream : this->upstreams.ofService(service)) {
+        if (!this->isUsable(*upstream, now))
+            continue;
+        const bool isTried
+            = previous != nullptr && (previous->token == upstream->token || previous->tried[0] == upstream->token);
+        if (!upstream->dead && this->isDeadToOpenings(*upstream, now))
+            this->resetFlowsOf(*upstream, now);
+        if (isTried || this->isAvoided(*upstream, now) || upstream->announced.state == AnnouncedState::Silent)
+            avoided.push_back(upstream);
+        else if (upstream->announced.zone == this->settings.zone)
+            own.push_back(upstream);
+        else
+            others.push_back(upstream);
+    }
+    if (!own.empty())
+        return this->leastLoaded(own);
+    if (!others.empty())
+        return this->leastLoaded(others);
+    // A dead upstream is tried now and then; the other callers are refused at once and may try again later.
+    std::erase_if(avoided, [&](const Upstream* upstream) {
+        return upstream->dead && upstream->unansweredSince
+            && now - *upstream->unansweredSince < this->settings.lastResortPause;
+    });
+    return this->leastLoaded(avoided);
+}
+
+Upstream* FlowRouter::leastLoaded(const Candidates& candidates)
+{
+    Upstream* best = nullptr;
+    std::uint32_t ties = 0;
+    const auto loadOf = [](const Upstream& upstream) { return upstream.flows + upstream.requests; };
+    for (Upstream* candidate : candidates) {
+        if (best == nullptr || loadOf(*candidate) < loadOf(*best)) {
+            best = candidate;
+            ties = 1;
+        } else if (loadOf(*candidate) == loadOf(*best)) {
+            // Each of the equal ones is kept with the same probability.
+            ++ties;
+            if (std::uniform_int_distribution<std::uint32_t> { 1, ties }(this->random) == 1)
+                best = candidate;
+        }
+    }
+    return best;
+}
+
+bool FlowRouter::isUsable(const Upstream& upstream, TimePoint now) const
+{
+    const auto state = upstream.announced.state;
+    if (state == AnnouncedState::Gone || state == AnnouncedState::Draining || upstream.coldUntil > now)
+        return false;
+    return !this->isOutOfService(upstream.announced.zone, now);
+}
+
+bool FlowRouter::isOutOfService(const std::string& zone, TimePoint now) const
+{
+    if (this->withdrawn.contains(zone))
+        return true;
+    return std::any_of(this->returned.begin(), this->returned.end(),
+        [&](const ReturnedZone& item) { return item.zone == zone && item.usableAt > now; });
+}
+
+} // namespace zinnia::routing
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -8,18 +8,12 @@
 
 namespace {
 
-    /** Interval of the news to the other control instances. */
-    constexpr Milliseconds gossipInterval { 200 };
     constexpr Milliseconds refreshInterval { 100 };
     /** A turn that comes this much late means that the process stood still and knows nothing of that time. */
     constexpr Milliseconds longPause { 1000 };
-    /** Time for a second instance to confirm a drain; callers wait 1 s for an answer. */
-    constexpr Milliseconds shareTimeout { 700 };
     /** Missed announcements after which an upstream is silent. */
     constexpr int missedHeartbeats = 3;
     constexpr Milliseconds heartbeatSlack { 600 };
-    /** Time without a leader from which on upstreams are sent to other instances. */
-    constexpr Milliseconds leaderPatience { 2000 };
     /** A replica whose storage failed opens its folder again after this time. */
     constexpr Milliseconds storageRetry { 1000 };
     /** After a restart of all replicas routers wait for an election: 100 to 200 ms in place of 500 to 1,000. */
@@ -27,12 +21,6 @@
     /** Each record holds a whole route table, so a restart reads few of them. */
     constexpr std::uint64_t snapshotInterval = 64;
     constexpr std::uint64_t trailingRecords = 32;
-    /** Announcements in one datagram. */
-    constexpr std::size_t announcementsPerReply = 100;
-    /** File with what routers need after a restart of the whole fleet. */
-    const std::string memoryName = "memory";
-    /** Shortest time between two writes of it. */
-    constexpr Milliseconds rememberInterval { 500 };
     constexpr Milliseconds stopInterval { 50 };
     /** Unit: stop intervals; 2 s in all. */
     constexpr int longestStop = 40;
@@ -220,71 +208,6 @@
     });
 }
 
-void FleetProcess::announce(const upstream::Announcement& announcement, CallDone done)
-{
-    this->observe(announcement, Milliseconds { 0 }, "call");
-    // An instance that is cut off takes note, but sends the upstream to one that others hear.
-    if (this->loop->now() - this->leaderSeen > leaderPatience)
-        return done({ CallStatus::Unavailable });
-    if (announcement.state == upstream::AnnouncedState::Draining)
-        return this->share(announcement.number, std::move(done));
-    done({ CallStatus::Done });
-}
-
-void FleetProcess::depart(upstream::UpstreamNumber number, CallDone done)
-{
-    const upstream::Announcement* known = this->board.find(number);
-    if (known == nullptr)
-        return done({ CallStatus::Done });
-    upstream::Announcement last = *known;
-    last.state = upstream::AnnouncedState::Gone;
-    last.order.sequence = upstream::AnnouncementOrder::departure;
-    this->observe(last, Milliseconds { 0 }, "call");
-    this->share(number, std::move(done));
-}
-
-void FleetProcess::observe(const upstream::Announcement& announcement, Milliseconds age, const char* path)
-{
-    const auto outcome = this->board.observe(announcement, age, this->loop->now());
-    if (outcome == upstream::BoardOutcome::Changed)
-        runtime::log(Event::UpstreamAnnounced, Field { "upstream", announcement.number },
-            Field { "service", announcement.service }, Field { "address", announcement.address },
-            Field { "zone", announcement.zone }, Field { "state", announcement.state },
-            Field { "cold_ms", announcement.coldLeft }, Field { "sequence", announcement.order.sequence },
-            Field { "age_ms", age }, Field { "path", path });
-}
-
-void FleetProcess::share(upstream::UpstreamNumber number, CallDone done)
-{
-    const upstream::Announcement* current = this->board.find(number);
-    const auto peers = this->roster.peers();
-    if (current == nullptr || peers.empty())
-        return done({ CallStatus::Done });
-    const auto known = this->confirmed.find(number);
-    if (known != this->confirmed.end() && known->second.state == current->state
-        && known->second.order.startedAt == current->order.startedAt)
-        return done({ CallStatus::Done });
-    const std::uint64_t ticket = this->nextShare++;
-    const TimerId timer
-        = this->loop->schedule(shareTimeout, [this, ticket] { this->finishShare(ticket, CallStatus::Unavailable); });
-    this->shares.emplace(ticket, PendingShare { number, std::move(done), timer });
-    const feed::Gossip message { ticket, this->epoch, this->roster.live(this->loop->now()),
-        { { *current, Milliseconds { 0 } } } };
-    for (const auto& peer : peers)
-        this->link->send(peer, wire::MessageKind::Gossip, message);
-}
-
-void FleetProcess::finishShare(std::uint64_t number, CallStatus status)
-{
-    auto share = this->shares.extract(number);
-    if (share.empty())
-        return;
-    this->loop->cancel(share.mapped().timer);
-    if (const auto* current = this->board.find(share.mapped().number); status == CallStatus::Done && current != nullptr)
-        this->confirmed.insert_or_assign(share.mapped().number, *current);
-    share.mapped().done({ status });
-}
-
 std::optional<Bytes> FleetProcess::answerStream(BytesView sealed)
 {
     const auto opened = this->opener.open(sealed);
@@ -303,111 +226,6 @@
     return std::nullopt;
 }
 
-void FleetProcess::receive(const wire::OpenedMessage& message, const Endpoint& source)
-{
-    const auto decode = [&]<class Message>(std::type_identity<Message>) {
-        const auto decoded = wire::decode<Message>(message.body);
-        if (decoded)
-            this->receive(message.sender, decoded.value(), source);
-        else
-            runtime::log(Event::MessageRefused, Field { "reason", RefusalReason::Malformed });
-    };
-    if (message.kind == wire::MessageKind::Gossip)
-        decode(std::type_identity<feed::Gossip> {});
-    else if (message.kind == wire::MessageKind::GossipAck)
-        decode(std::type_identity<feed::GossipAck> {});
-    else if (message.kind == wire::MessageKind::FeedRequest)
-        decode(std::type_identity<feed::FeedRequest> {});
-    else
-        runtime::log(Event::MessageRefused, Field { "reason", RefusalReason::UnknownKind });
-}
-
-void FleetProcess::receive(InstanceId sender, const feed::Gossip& message, const Endpoint& source)
-{
-    const TimePoint now = this->loop->now();
-    const feed::RosterChange change = this->roster.heard(sender, message.epoch, now);
-    const bool learned = this->roster.learn(message.controls, now);
-    for (const auto& [announcement, age] : message.announcements)
-        this->observe(announcement, age, "gossip");
-    if (message.number != 0)
-        this->link->reply(source, wire::MessageKind::GossipAck, feed::GossipAck { message.number });
-    if (change != feed::RosterChange::Known) {
-        runtime::log(Event::PeerAlive, Field { "instance", sender });
-        this->link->send(sender, wire::MessageKind::Gossip,
-            feed::Gossip { 0, this->epoch, this->roster.live(now), this->board.all(now) });
-    }
-    if (learned || change == feed::RosterChange::Appeared)
-        this->setPeers();
-}
-
-void FleetProcess::receive(InstanceId, const feed::GossipAck& message, const Endpoint&)
-{
-    this->finishShare(message.number, CallStatus::Done);
-}
-
-void FleetProcess::receive(InstanceId, const feed::FeedRequest& message, const Endpoint& source)
-{
-    const TimePoint now = this->loop->now();
-    feed::FeedReply reply;
-    reply.number = message.number;
-    reply.confirmed = this->hasLeader();
-    reply.revision = this->routing().revision;
-    if (message.revision < reply.revision)
-        reply.state = this->routing();
-    reply.board = this->epoch;
-    const std::uint64_t since = message.board == this->epoch ? message.change : 0;
-    reply.announcements = this->board.changedSince(since, announcementsPerReply, reply.change, now);
-    reply.lastChange = this->board.lastChange();
-    reply.controls = this->roster.live(now);
-    this->link->reply(source, wire::MessageKind::FeedReply, reply);
-}
-
-void FleetProcess::recall()
-{
-    this->memoryFile = std::make_unique<BackgroundFile>(*this->files, memoryName);
-    const auto content = this->memoryFile->read();
-    if (!content)
-        return;
-    const auto memory = wire::decode<feed::FeedMemory>(*content);
-    if (!memory)
-        return;
-    this->remembered = memory.value().state;
-    const TimePoint now = this->loop->now();
-    // Each upstream gets a whole lease to announce itself again, wherever it was when this process stopped.
-    for (const auto& [announcement, age] : memory.value().announcements) {
-        if (announcement.state != upstream::AnnouncedState::Silent)
-            (void)this->board.observe(announcement, Milliseconds { 0 }, now);
-    }
-    runtime::log(Event::MemoryRecalled, Field { "revision", this->remembered.revision },
-        Field { "upstreams", this->board.size() });
-}
-
-void FleetProcess::remember(TimePoint now)
-{
-    const bool changed
-        = this->rememberedChange != this->board.lastChange() || this->remembered.revision < this->log.revision();
-    if (!changed || now < this->rememberDue)
-        return;
-    this->rememberDue = now + rememberInterval;
-    this->rememberedChange = this->board.lastChange();
-    this->remembered = this->routing();
-    this->memoryFile->write(wire::encode(feed::FeedMemory { this->remembered, this->board.all(now) }));
-}
-
-const feed::RoutingState& FleetProcess::routing() const
-{
-    return this->log.revision() < this->remembered.revision ? this->remembered : this->log.routing();
-}
-
-void FleetProcess::gossip()
-{
-    this->loop->schedule(gossipInterval, [this] { this->gossip(); });
-    const TimePoint now = this->loop->now();
-    const feed::Gossip message { 0, this->epoch, this->roster.live(now), this->board.takeFresh(now) };
-    for (const auto& peer : this->roster.peers())
-        this->link->send(peer, wire::MessageKind::Gossip, message);
-}
-
 void FleetProcess::refresh()
 {
     this->loop->schedule(refreshInterval, [this] { this->refresh(); });
