routing, feed: late copies of an opening, rare packets, spread over control instances

Found in review: a copy of an opening that arrived after the handshake brought a second upstream into the open flow; avoidance ended with any pause of 0.3 s between packets, so that with few callers a crashed upstream was forgotten each time; every router asked the same three control instances. Change: the copy follows the open flow; only a late timer of the process forgives; each router prefers other control instances. Tests: ALateCopyOfAnOpeningFollowsTheOpenFlow, AvoidsASilentUpstreamAlsoWhenPacketsAreRare, RoutersPreferDifferentControlInstances.

--- a/src/zinnia/feed/feed_client.cpp
+++ b/src/zinnia/feed/feed_client.cpp
@@ -1,5 +1,7 @@
 #include "zinnia/feed/feed_client.hpp"
 
+#include "zinnia/core/hash.hpp"
+
 #include <algorithm>
 
 namespace zinnia::feed {
@@ -23,9 +25,16 @@
 {
     std::vector<InstanceId> result;
     for (const auto& [id, control] : this->controls) {
-        if (result.size() < this->settings.sources && this->answers(control, now))
+        if (this->answers(control, now))
             result.push_back(id);
     }
+    if (result.size() > this->settings.sources) {
+        const auto scoreOf = [this](InstanceId id) { return hashOf(this->settings.self.value, id.value); };
+        std::sort(result.begin(), result.end(),
+            [&](InstanceId left, InstanceId right) { return scoreOf(left) > scoreOf(right); });
+        result.resize(this->settings.sources);
+        std::sort(result.begin(), result.end());
+    }
     return result;
 }
 
--- a/src/zinnia/feed/feed_client.hpp
+++ b/src/zinnia/feed/feed_client.hpp
@@ -10,8 +10,6 @@
 
 /** @brief Times of a router's requests to the control instances. */
 struct FeedClientSettings {
-    /** Interval of the requests, which go to the control instances in turn. */
-    Milliseconds interval { 150 };
     /** A control instance that has not answered for this long is asked less often. */
     Milliseconds silence { 1500 };
     /** Interval of the requests to a control instance that does not answer, while others do. */
@@ -25,6 +23,8 @@
      * its own control instance, and its restarted routers too.
      */
     Milliseconds unconfirmedPatience { 3000 };
+    /** Identity of the router: each prefers other control instances, so that their load is spread. */
+    InstanceId self;
     /** Age from which the news of all control instances together counts as out of touch. */
     Milliseconds touch { 2500 };
 };
--- a/src/zinnia/routing/flow_router.cpp
+++ b/src/zinnia/routing/flow_router.cpp
@@ -65,7 +65,6 @@
 
 RoutingDecision FlowRouter::route(const FlowPacket& packet, TimePoint now)
 {
-    this->forgiveAfterPause(now);
     return packet.opens ? this->open(packet, now) : this->forward(packet, now);
 }
 
@@ -80,7 +79,12 @@
     const auto known = this->flows.find(id);
     Flow* previous = nullptr;
     if (known != this->flows.end()) {
-        if (known->second.sequence == packet.sequence && !known->second.established)
+        const bool isCopy = known->second.sequence == packet.sequence;
+        Upstream* holder = this->upstreams.find(known->second.token);
+        // A copy that arrives late must not bring another upstream into an open flow.
+        if (isCopy && known->second.established && holder != nullptr)
+            return { PacketAction::Forward, RoutingReason::None, holder };
+        if (isCopy && !known->second.established)
             previous = &known->second;
         else
             this->end(known->second);
@@ -265,14 +269,6 @@
     return upstream.stalledFlows >= this->settings.stalledFlows || flow.repeats >= this->settings.repeats;
 }
 
-void FlowRouter::forgiveAfterPause(TimePoint now)
-{
-    const bool paused = now - this->lastPacketAt > this->settings.longestGap;
-    this->lastPacketAt = now;
-    if (paused)
-        this->upstreams.forgiveAll();
-}
-
 void FlowRouter::resetFlowsOf(Upstream& upstream, TimePoint now)
 {
     upstream.dead = true;
--- a/src/zinnia/routing/flow_router.hpp
+++ b/src/zinnia/routing/flow_router.hpp
@@ -42,8 +42,6 @@
     std::size_t unansweredCallers = 2;
     /** Times that it was tried again after a pause, also without an answer. */
     std::uint32_t failedTries = 1;
-    /** A router that handled no packet for this long was idle or stood still, and does not judge by that time. */
-    Milliseconds longestGap { 300 };
     /** Time between two tries of a dead upstream while there is no other. */
     Milliseconds lastResortPause { 250 };
     /**
@@ -166,6 +164,8 @@
     [[nodiscard]] std::vector<FlowReset> takeResets() { return std::exchange(this->resets, {}); }
     /** @brief Takes what was concluded about upstreams since the last call, for the log. */
     [[nodiscard]] std::vector<UpstreamNote> takeNotes() { return std::exchange(this->notes, {}); }
+    /** @brief Forgets which upstreams left openings unanswered: this process stood still and has seen no answers. */
+    void forgive() { this->upstreams.forgiveAll(); }
     /** @brief Forgets ended flows and upstreams; to be called about once a second. */
     void expire(TimePoint now);
 
@@ -222,7 +222,6 @@
     [[nodiscard]] Microseconds handshakeTimeout() const;
     /** @return Whether an upstream has left an opening unanswered and its next try is not due. */
     [[nodiscard]] bool isAvoided(const Upstream& upstream, TimePoint now) const;
-    void forgiveAfterPause(TimePoint now);
     [[nodiscard]] Upstream* choose(const feed::CompactRoute& route, const Flow* previous, TimePoint now);
     [[nodiscard]] Upstream* chooseOf(const std::string& service, const Flow* previous, TimePoint now);
     [[nodiscard]] Upstream* leastLoaded(const Candidates& candidates);
@@ -237,7 +236,6 @@
     std::vector<UpstreamNote> notes;
     /** Running mean of the time from an opening to the end of its handshake. */
     Microseconds usualHandshake {};
-    TimePoint lastPacketAt;
     std::unordered_map<Endpoint, std::size_t> routeOf;
     std::unordered_set<std::string> withdrawn;
     std::vector<ReturnedZone> returned;
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -15,7 +15,7 @@
     /** Callers repeat a packet after 200 ms and give a request up soon after. */
     constexpr Milliseconds longestHold { 400 };
     /** A turn of the loop that comes this late shows that the process stood still. */
-    constexpr Milliseconds longPause { 600 };
+    constexpr Milliseconds longPause { 400 };
     /** Batches read in one turn, so that timers and calls are not kept waiting under load. */
     constexpr int batchesEachTurn = 4;
 
@@ -27,11 +27,11 @@
         return router;
     }
 
-    feed::FeedClientSettings feedSettings()
+    feed::FeedClientSettings feedSettingsOf(const RouterSettings& settings)
     {
-        feed::FeedClientSettings settings;
-        settings.interval = feedTick;
-        return settings;
+        feed::FeedClientSettings feed;
+        feed.self = settings.instance;
+        return feed;
     }
 
 } // namespace
@@ -51,7 +51,7 @@
     , loop { &loop }
     , sealer { settings.cluster.key, settings.cluster.id, settings.instance, epoch }
     , router { routerSettingsOf(settings, epoch) }
-    , feed { feedSettings(), settings.member.seedIds() }
+    , feed { feedSettingsOf(settings), settings.member.seedIds() }
 {
     for (const auto& row : routing::packetActionNames)
         this->actionCounters[static_cast<std::size_t>(row.value)]
@@ -252,8 +252,11 @@
 {
     this->loop->schedule(this->feed.isComplete() ? feedTick : firstFeedTick, [this] { this->askControls(); });
     const TimePoint now = this->loop->now();
-    if (this->lastTick != TimePoint {} && now - this->lastTick > longPause)
+    // Timers run before descriptors, so this comes before the packets that arrived in the meantime.
+    if (this->lastTick != TimePoint {} && now - this->lastTick > longPause) {
+        this->router.forgive();
         log(Event::RouterPaused, Field { "pause_us", now - this->lastTick });
+    }
     this->lastTick = now;
     for (const auto& request : this->feed.tick(this->router.state().revision, now))
         this->link->send(request.control, wire::MessageKind::FeedRequest, request.request);
--- a/test/zinnia/feed/feed_client_test.cpp
+++ b/test/zinnia/feed/feed_client_test.cpp
@@ -2,6 +2,7 @@
 #include "zinnia/feed/feed_client.hpp"
 
 #include <gtest/gtest.h>
+#include <map>
 #include <set>
 
 namespace zinnia::feed {
@@ -85,6 +86,30 @@
         EXPECT_EQ(asked(client.tick(3, start + Milliseconds { 1000 })), (std::set { one, three }));
     }
 
+    // Load: many routers and more control instances than each asks. Guards against a few that get all requests.
+    TEST(FeedClient, RoutersPreferDifferentControlInstances)
+    {
+        std::map<InstanceId, int> requests;
+        for (std::uint32_t router = 1; router <= 100; ++router) {
+            std::vector<InstanceId> all;
+            for (std::uint32_t id = 1; id <= 8; ++id)
+                all.push_back(InstanceId { id });
+            FeedClientSettings settings;
+            settings.self = InstanceId { 1000 + router };
+            FeedClient client { settings, all };
+            (void)client.tick(0, start);
+            for (const auto& id : all)
+                (void)client.receive(id, replyOf(3, 1, 1), 3, start);
+            for (int turn = 1; turn <= 3; ++turn) {
+                for (const auto& request : client.tick(3, start + turn * Milliseconds { 150 }))
+                    ++requests[request.control];
+            }
+        }
+        EXPECT_EQ(requests.size(), 8U);
+        for (const auto& [id, count] : requests)
+            EXPECT_LT(count, 2 * 300 / 8) << id.value;
+    }
+
     // Guards against a router that is left alone when all its seeds were replaced.
     TEST(FeedClient, LearnsOtherInstancesFromReplies)
     {
--- a/test/zinnia/routing/flow_router_test.cpp
+++ b/test/zinnia/routing/flow_router_test.cpp
@@ -250,10 +250,30 @@
     {
         Fixture fixture { { announce(1, "logger", "a"), announce(2, "logger", "b") } };
         (void)fixture.send(Fixture::openingOf(1));
-        fixture.now += Milliseconds { 4000 };
+        fixture.now += Milliseconds { 400 };
+        fixture.router.forgive();
         EXPECT_EQ(fixture.send(Fixture::openingOf(2)).upstream->announced.zone, "a");
     }
 
+    // Load: few callers. Guards against a crashed upstream that is forgotten between two of their openings.
+    TEST(FlowRouter, AvoidsASilentUpstreamAlsoWhenPacketsAreRare)
+    {
+        Fixture fixture { { announce(1, "logger", "a"), announce(2, "logger", "b") } };
+        (void)fixture.send(Fixture::openingOf(1));
+        fixture.now += Milliseconds { 400 };
+        EXPECT_EQ(fixture.send(Fixture::openingOf(2)).upstream->announced.zone, "b");
+    }
+
+    // Guards against a late copy of an opening that brings a second upstream into an open flow.
+    TEST(FlowRouter, ALateCopyOfAnOpeningFollowsTheOpenFlow)
+    {
+        Fixture fixture { { announce(1, "logger", "a"), announce(2, "logger", "a") } };
+        const RoutingToken token = fixture.open(1);
+        const auto copy = fixture.send(Fixture::openingOf(1));
+        EXPECT_EQ(copy.action, PacketAction::Forward);
+        EXPECT_EQ(copy.upstream->token, token);
+    }
+
     // Load: an upstream dies with open flows. Guards against callers that wait until their deadline, and against a
     // reset while the upstream answers others.
     TEST(FlowRouter, ResetsFlowsOfAnUpstreamThatAnswersNobody)
