--- a/src/programs/zinnia-fleet/main.cpp
+++ b/src/programs/zinnia-fleet/main.cpp
@@ -2,8 +2,6 @@
 #include "zinnia/runtime/fleet_process.hpp"
 #include "zinnia/runtime/run_daemon.hpp"
 
-#include <cstdlib>
-
 namespace {
 
 using namespace zinnia;
@@ -26,8 +24,7 @@
 
 int main(int argc, char** argv)
 {
-    // Without the destructors of static objects: joining the threads of the logging library can take seconds.
-    std::_Exit(runProgram<FleetSettings>(
+    exitProcess(runProgram<FleetSettings>(
         { "zinnia-fleet", "Keeps routes, withdrawn zones and announcements of upstreams for the routers." }, argc, argv,
         &readFleetSettings, &runFleet));
 }
--- a/src/programs/zinnia-router/main.cpp
+++ b/src/programs/zinnia-router/main.cpp
@@ -3,8 +3,6 @@
 #include "zinnia/runtime/router_process.hpp"
 #include "zinnia/runtime/run_daemon.hpp"
 
-#include <cstdlib>
-
 namespace {
 
 using namespace zinnia;
@@ -29,8 +27,7 @@
 
 int main(int argc, char** argv)
 {
-    // Without the destructors of static objects: joining the threads of the logging library can take seconds.
-    std::_Exit(runProgram<RouterSettings>(
+    exitProcess(runProgram<RouterSettings>(
         { "zinnia-router", "Receives packets of callers and sends them to upstreams by their routing token." }, argc,
         argv, &readRouterSettings, &runRouter));
 }
--- a/src/zinnia/runtime/process_start.hpp
+++ b/src/zinnia/runtime/process_start.hpp
@@ -4,6 +4,8 @@
 #include "zinnia/core/time.hpp"
 
 #include <chrono>
+#include <cstdlib>
+#include <iostream>
 
 namespace zinnia::runtime {
 
@@ -14,4 +16,16 @@
     return Epoch { static_cast<std::uint64_t>(std::chrono::duration_cast<Microseconds>(sinceEpoch).count()) };
 }
 
+/**
+ * @brief Ends the process without the destructors of static objects.
+ *
+ * The logging library joins its threads there, which held up the end of a stopped process for seconds.
+ */
+[[noreturn]] inline void exitProcess(int code)
+{
+    std::cout.flush();
+    std::cerr.flush();
+    std::_Exit(code);
+}
+
 } // namespace zinnia::runtime
--- a/src/zinnia/runtime/run_daemon.hpp
+++ b/src/zinnia/runtime/run_daemon.hpp
@@ -53,7 +53,10 @@
     std::function<void()> stop = [&running] { running.stop(); };
     std::function<void()> readAgain = [] {};
     // Before the process starts threads, which inherit the signal mask.
-    const StopSignals signals { running, [&stop] { stop(); }, [&readAgain] { readAgain(); } };
+    std::function<void()> onHangup;
+    if (!reload.file.empty())
+        onHangup = [&readAgain] { readAgain(); };
+    const StopSignals signals { running, [&stop] { stop(); }, onHangup };
     auto process = make(epochOfThisStart(), running);
     if (!process) {
         logError(process.error());
