--- a/src/zinnia/runtime/fleet_process_news.cpp
+++ b/src/zinnia/runtime/fleet_process_news.cpp
@@ -18,6 +18,16 @@
     /** Shortest time between two writes of it. */
     constexpr Milliseconds rememberInterval { 500 };
 
+    /** @param path How this instance learned of it. */
+    void logChange(const upstream::Announcement& announcement, Milliseconds age, const char* path)
+    {
+        log(Event::UpstreamAnnounced, Field { "upstream", announcement.number },
+            Field { "service", announcement.service }, Field { "address", announcement.address },
+            Field { "zone", announcement.zone }, Field { "state", announcement.state },
+            Field { "cold_ms", announcement.coldLeft }, Field { "sequence", announcement.order.sequence },
+            Field { "age_ms", age }, Field { "path", path });
+    }
+
 } // namespace
 
 void FleetProcess::announce(const upstream::Announcement& announcement, CallDone done)
@@ -33,25 +43,15 @@
 
 void FleetProcess::depart(upstream::UpstreamNumber number, CallDone done)
 {
-    const upstream::Announcement* known = this->board.find(number);
-    if (known == nullptr)
-        return done({ CallStatus::Done });
-    upstream::Announcement last = *known;
-    last.state = upstream::AnnouncedState::Gone;
-    last.order.sequence = upstream::AnnouncementOrder::departure;
-    this->observe(last, Milliseconds { 0 }, "call");
+    if (this->board.depart(number, this->loop->now()) == upstream::BoardOutcome::Changed)
+        logChange(*this->board.find(number), Milliseconds { 0 }, "call");
     this->share(number, std::move(done));
 }
 
 void FleetProcess::observe(const upstream::Announcement& announcement, Milliseconds age, const char* path)
 {
-    const auto outcome = this->board.observe(announcement, age, this->loop->now());
-    if (outcome == upstream::BoardOutcome::Changed)
-        runtime::log(Event::UpstreamAnnounced, Field { "upstream", announcement.number },
-            Field { "service", announcement.service }, Field { "address", announcement.address },
-            Field { "zone", announcement.zone }, Field { "state", announcement.state },
-            Field { "cold_ms", announcement.coldLeft }, Field { "sequence", announcement.order.sequence },
-            Field { "age_ms", age }, Field { "path", path });
+    if (this->board.observe(announcement, age, this->loop->now()) == upstream::BoardOutcome::Changed)
+        logChange(announcement, age, path);
 }
 
 void FleetProcess::share(upstream::UpstreamNumber number, CallDone done)
