test: callers of the soak take only answers that acknowledge their packet

Trace: routers were paused twice and links delayed, so copies of a packet reached the upstream late and each was answered; the caller took any packet on the flow's port for its answer. Answers carry what they acknowledge, and the platform's ends drop what they have seen.

--- a/test/platform/soak/traffic.py
+++ b/test/platform/soak/traffic.py
@@ -147,7 +147,9 @@
                     got = await asyncio.wait_for(self.inbox.get(), left)
                 except asyncio.TimeoutError:
                     break
-                if got.destination[1] == self.flow["port"]:
+                # An answer acknowledges what it answers; one to an earlier packet's copy does not.
+                expected = seq + 1 if flags & SYN else seq + len(data)
+                if got.destination[1] == self.flow["port"] and (got.flags & RST or got.ack == expected):
                     return got
             if time.monotonic() >= deadline:
                 return None
