--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -201,10 +201,11 @@
     if (!this->replica)
         return done({ { CallStatus::Unavailable } });
     this->replica->read([this, done = std::move(done)](const consensus::ProposalResult& result) {
-        ReadResult read { this->resultOf(result) };
-        if (read.call.status == CallStatus::Done && this->log.state().routes().version != ConfigVersion {})
-            read.document = this->log.state().document();
-        done(read);
+        const CallResult call = this->resultOf(result);
+        const bool hasRoutes = this->log.state().routes().version != ConfigVersion {};
+        if (call.status == CallStatus::Done && hasRoutes)
+            return done({ call, this->log.state().document() });
+        done({ call, std::nullopt });
     });
 }
 
