--- a/src/zinnia/entry/entry_node.cpp
+++ b/src/zinnia/entry/entry_node.cpp
@@ -194,6 +194,16 @@
     this->runOwner(request::RecordAckReceived { from, message });
 }
 
+void EntryNode::deliver(InstanceId from, const request::ObservationRecord& message)
+{
+    this->runOwner(request::ObservationRecordReceived { from, message });
+}
+
+void EntryNode::deliver(InstanceId from, const request::ObservationRecordAck& message)
+{
+    this->runOwner(request::ObservationRecordAckReceived { from, message });
+}
+
 void EntryNode::deliver(InstanceId from, const request::DispatchRequest& message)
 {
     this->extendLease();
--- a/src/zinnia/entry/entry_node.hpp
+++ b/src/zinnia/entry/entry_node.hpp
@@ -78,6 +78,8 @@
     void deliver(InstanceId from, const membership::Heartbeat& message);
     void deliver(InstanceId from, const request::RecordRequest& message);
     void deliver(InstanceId from, const request::RecordRequestAck& message);
+    void deliver(InstanceId from, const request::ObservationRecord& message);
+    void deliver(InstanceId from, const request::ObservationRecordAck& message);
     void deliver(InstanceId from, const request::DispatchRequest& message);
     void deliver(InstanceId from, const request::RequestResult& message);
     void deliver(InstanceId from, const request::CancelRequest& message);
--- a/src/zinnia/entry/entry_node_actions.cpp
+++ b/src/zinnia/entry/entry_node_actions.cpp
@@ -176,9 +176,15 @@
 {
     OwnershipChange change = this->ownership.update(*this->current, this->membership.view());
     for (OwnedBuckets& lost : change.lost)
-        this->runOwner(request::OwnershipLost { lost.service, std::move(lost.buckets) });
-    for (OwnedBuckets& gained : change.gained)
-        this->runOwner(request::OwnershipTaken { gained.service, std::move(gained.buckets) });
+        this->runOwner(request::OwnershipLost { lost.service, std::move(lost.buckets), std::move(lost.otherOwners) });
+    for (OwnedBuckets& gained : change.gained) {
+        std::erase_if(gained.otherOwners,
+            [this](const auto& previous) { return !membership::findMember(this->membership.view(), previous.second); });
+        this->runOwner(
+            request::OwnershipTaken { gained.service, std::move(gained.buckets), std::move(gained.otherOwners) });
+    }
+    for (BucketDeputies& changed : change.deputies)
+        this->runOwner(request::DeputiesChanged { changed.service, std::move(changed.deputies) });
 }
 
 void EntryNode::shareUpstreams(const upstream::UpstreamsChanged& change)
--- a/src/zinnia/entry/ownership.cpp
+++ b/src/zinnia/entry/ownership.cpp
@@ -1,6 +1,6 @@
 #include "zinnia/entry/ownership.hpp"
 
-#include "zinnia/flow/placement.hpp"
+#include <utility>
 
 namespace zinnia::entry {
 
@@ -8,22 +8,35 @@
 {
     OwnershipChange change;
     for (const config::Service& service : configuration.services) {
-        std::vector<bool>& before = this->owned[service.id];
-        before.resize(service.buckets);
-        OwnedBuckets gained { service.id, {} };
-        OwnedBuckets lost { service.id, {} };
+        std::vector<flow::BucketHolders>& known = this->holders[service.id];
+        known.resize(service.buckets);
+        OwnedBuckets gained { service.id, {}, {} };
+        OwnedBuckets lost { service.id, {}, {} };
+        BucketDeputies deputies { service.id, {} };
         for (std::uint32_t index = 0; index < service.buckets; ++index) {
             const BucketIndex bucket { static_cast<std::uint16_t>(index) };
             const ZoneId zone = flow::zoneOf(configuration, view, service.id, bucket);
-            const bool owns = zone == view.zone && flow::holdersOf(view, zone, service.id, bucket).owner == view.self;
-            if (owns != before[index])
-                (owns ? gained : lost).buckets.push_back(bucket);
-            before[index] = owns;
+            const bool isOwnZone = zone == view.zone;
+            const flow::BucketHolders now
+                = isOwnZone ? flow::holdersOf(view, zone, service.id, bucket) : flow::BucketHolders {};
+            const flow::BucketHolders before = std::exchange(known[index], now);
+            if (now.owner == view.self && (before.owner != view.self || before.deputy != now.deputy))
+                deputies.deputies.emplace(bucket, now.deputy);
+            if (before.owner == now.owner || (before.owner != view.self && now.owner != view.self))
+                continue;
+            const bool isGain = now.owner == view.self;
+            const InstanceId other = isGain ? before.owner : now.owner;
+            OwnedBuckets& changed = isGain ? gained : lost;
+            changed.buckets.push_back(bucket);
+            if (other != InstanceId {})
+                changed.otherOwners.emplace(bucket, other);
         }
         if (!gained.buckets.empty())
             change.gained.push_back(std::move(gained));
         if (!lost.buckets.empty())
             change.lost.push_back(std::move(lost));
+        if (!deputies.deputies.empty())
+            change.deputies.push_back(std::move(deputies));
     }
     return change;
 }
--- a/src/zinnia/entry/ownership.hpp
+++ b/src/zinnia/entry/ownership.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "zinnia/config/configuration.hpp"
+#include "zinnia/flow/placement.hpp"
 #include "zinnia/membership/view.hpp"
 
 #include <cstdint>
@@ -13,12 +14,22 @@
 struct OwnedBuckets {
     ServiceId service;
     std::vector<BucketIndex> buckets;
+    /** The other owner of a bucket: the previous one if it was gained, the new one if it was lost. Absent if none. */
+    std::map<BucketIndex, InstanceId> otherOwners;
+};
+
+/** @brief Deputies of buckets that this entry owns; instance 0 for none. */
+struct BucketDeputies {
+    ServiceId service;
+    std::map<BucketIndex, InstanceId> deputies;
 };
 
 /** @brief What has changed since the last call. */
 struct OwnershipChange {
     std::vector<OwnedBuckets> gained;
     std::vector<OwnedBuckets> lost;
+    /** Owned buckets that were gained, or have another deputy. */
+    std::vector<BucketDeputies> deputies;
 };
 
 /**
@@ -33,7 +44,8 @@
     [[nodiscard]] OwnershipChange update(const config::Configuration& configuration, const membership::View& view);
 
 private:
-    std::map<ServiceId, std::vector<bool>> owned;
+    /** Holders of each bucket in the last view; instance 0 in buckets of other zones. */
+    std::map<ServiceId, std::vector<flow::BucketHolders>> holders;
 };
 
 } // namespace zinnia::entry
--- a/src/zinnia/entry/peer_message.hpp
+++ b/src/zinnia/entry/peer_message.hpp
@@ -13,6 +13,6 @@
 using PeerMessage = std::variant<membership::Heartbeat, flow::ForwardPacket, flow::ReplicateFlows, flow::ReplicateAck,
     flow::HandoverRequest, flow::HandoverRecords, flow::HandoverDone, flow::HandoverAck, request::RecordRequest,
     request::RecordRequestAck, request::DispatchRequest, request::RequestResult, request::CancelRequest,
-    upstream::UpstreamUpdate>;
+    upstream::UpstreamUpdate, request::ObservationRecord, request::ObservationRecordAck>;
 
 } // namespace zinnia::entry
--- a/src/zinnia/request/fwd.hpp
+++ b/src/zinnia/request/fwd.hpp
@@ -8,6 +8,8 @@
 struct CancelRequest;
 struct RecordRequest;
 struct RecordRequestAck;
+struct ObservationRecord;
+struct ObservationRecordAck;
 struct OwnerSettings;
 struct HomeSettings;
 class RequestOwner;
--- a/src/zinnia/request/messages.hpp
+++ b/src/zinnia/request/messages.hpp
@@ -10,6 +10,8 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
+#include <vector>
 
 namespace zinnia::request {
 
@@ -104,17 +106,23 @@
     }
 };
 
-/** @brief Owner to deputy: a non-idempotent request that is about to be dispatched, or that has ended. */
+/**
+ * @brief Owner to deputy: a non-idempotent request that is about to be dispatched, or that has ended.
+ *
+ * Also new owner to previous owner: asks whether that one knows a copy, and records the request if not.
+ */
 struct RecordRequest {
     RequestId id;
     RequestKey key;
     BucketIndex bucket;
     bool confirmable {};
     bool finished {};
+    /** For the previous owner, otherwise 0: how long ago the first copy may have arrived. */
+    Milliseconds possibleAge {};
 
     template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
     {
-        visit(self.id, self.key, self.bucket, self.confirmable, self.finished);
+        visit(self.id, self.key, self.bucket, self.confirmable, self.finished, self.possibleAge);
     }
 };
 
@@ -122,10 +130,49 @@
 struct RecordRequestAck {
     RequestId id;
     RefusalReason reason {};
+    /** From a previous owner: the other copy, if it is in progress. */
+    std::optional<RequestId> copyInProgress {};
 
     template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
     {
-        visit(self.id, self.reason);
+        visit(self.id, self.reason, self.copyInProgress);
+    }
+};
+
+/**
+ * @brief Owner to deputy: an observation in progress, so that the deputy can go on with it after the owner's death.
+ *
+ * Owner to new owner of the bucket: the observation, which the receiver goes on with.
+ */
+struct ObservationRecord {
+    RequestId id;
+    RequestKey key;
+    BucketIndex bucket;
+    /** The registration as the caller sent it. */
+    CoapMessage message;
+    /** The current upstream first. */
+    std::vector<UpstreamId> candidates;
+    /** Observe value of the newest message to the caller. */
+    std::uint32_t observeSequence {};
+    bool handedOver {};
+    /** The observation is over; `message` and `candidates` are empty. */
+    bool ended {};
+
+    template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
+    {
+        visit(self.id, self.key, self.bucket, self.message, self.candidates, self.observeSequence, self.handedOver,
+            self.ended);
+    }
+};
+
+/** @brief Receiver to owner: the record is kept, or the observation goes on here. */
+struct ObservationRecordAck {
+    RequestId id;
+    bool handedOver {};
+
+    template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
+    {
+        visit(self.id, self.handedOver);
     }
 };
 
--- a/src/zinnia/request/owner.cpp
+++ b/src/zinnia/request/owner.cpp
@@ -23,8 +23,10 @@
 
 bool RequestOwner::isIdle() const noexcept
 {
-    return std::all_of(this->active.begin(), this->active.end(),
-        [](const auto& entry) { return entry.second->second.stage == Stage::Observing; });
+    return std::all_of(this->active.begin(), this->active.end(), [](const auto& entry) {
+        const Request& request = entry.second->second;
+        return request.stage == Stage::Observing && !request.progress->newOwner;
+    });
 }
 
 void RequestOwner::on(const PlacedRequest& event, TimePoint now)
@@ -71,10 +73,17 @@
     progress.mayHaveRun = this->mayBeKnownElsewhere(item, now);
     const auto outcome = progress.mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun;
     if (progress.mayHaveRun && !item.second.idempotent) {
-        this->refuse(item, outcome, RefusalReason::OutcomeUnknown, Seconds { 0 }, now);
+        if (!this->askPreviousOwner(item, now))
+            this->refuse(item, outcome, RefusalReason::OutcomeUnknown, Seconds { 0 }, now);
         return;
     }
+    this->beginFresh(item, now);
+}
+
+void RequestOwner::beginFresh(Item& item, TimePoint now)
+{
     if (this->stopping) {
+        const auto outcome = item.second.progress->mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun;
         this->refuse(item, outcome, RefusalReason::Stopping, Seconds { 1 }, now);
         return;
     }
@@ -94,9 +103,14 @@
     const auto taken = this->takenAt.find({ item.first.service, item.second.bucket });
     if (taken == this->takenAt.end())
         return false;
-    const auto since = now - taken->second;
-    const auto& age = item.second.progress->properties.age;
-    return age ? *age + this->settings.takeoverMargin >= since : since < this->settings.maxTransmitWait;
+    return this->possibleAge(*item.second.progress, now) >= now - taken->second;
+}
+
+Milliseconds RequestOwner::possibleAge(const Progress& progress, TimePoint now) const
+{
+    const auto& age = progress.properties.age;
+    const auto atArrival = age ? *age + this->settings.takeoverMargin : Milliseconds { this->settings.maxTransmitWait };
+    return atArrival + std::chrono::duration_cast<Milliseconds>(now - progress.startedAt);
 }
 
 void RequestOwner::on(const ResultReceived& event, TimePoint now)
@@ -156,6 +170,10 @@
 void RequestOwner::on(const RecordReceived& event, TimePoint now)
 {
     const RecordRequest& record = event.record;
+    if (record.possibleAge > Milliseconds { 0 }) {
+        this->answerSuccessor(event, now);
+        return;
+    }
     const auto known = this->requests.find(record.key);
     RefusalReason reason = RefusalReason::None;
     if (known != this->requests.end()) {
@@ -165,32 +183,29 @@
             reason = RefusalReason::AlreadyRecorded;
         else if (record.finished)
             request.stage = Stage::RecordClosed;
-    } else if (!this->makeRoom(now)) {
+    } else if (!this->addRecord(record, now))
         reason = RefusalReason::RequestTableFull;
-    } else {
-        Item& item = *this->requests.try_emplace(record.key).first;
-        item.second.id = record.id;
-        item.second.bucket = record.bucket;
-        item.second.confirmable = record.confirmable;
-        item.second.stage = record.finished ? Stage::RecordClosed : Stage::RecordOpen;
-        this->keep(item, now);
-    }
     if (reason == RefusalReason::AlreadyRecorded)
         this->actions.emplace_back(
             LogOwner { Event::RequestRecordRefused, record.key.service, record.key.caller, reason });
     if (!record.finished)
-        this->actions.emplace_back(SendToPeer { event.from, RecordRequestAck { record.id, reason } });
+        this->actions.emplace_back(SendToPeer { event.from, RecordRequestAck { record.id, reason, {} } });
 }
 
 void RequestOwner::on(const RecordAckReceived& event, TimePoint now)
 {
     const auto found = this->active.find(event.ack.id.number);
     if (found == this->active.end() || found->second->second.id != event.ack.id
-        || found->second->second.stage != Stage::Recording)
+        || found->second->second.stage > Stage::Recording)
         return;
     Item& item = *found->second;
     Progress& progress = *item.second.progress;
-    if (progress.deputy != event.from)
+    if (item.second.stage == Stage::Asking) {
+        if (progress.previousOwner == event.from)
+            this->answeredByPreviousOwner(item, event.ack, now);
+        return;
+    }
+    if (item.second.stage != Stage::Recording || progress.deputy != event.from)
         return;
     if (event.ack.reason == RefusalReason::None) {
         this->dispatch(item, now);
@@ -205,12 +220,18 @@
 {
     const std::set<BucketIndex> buckets { event.buckets.begin(), event.buckets.end() };
     for (const BucketIndex bucket : buckets) {
-        this->takenAt[{ event.service, bucket }] = now;
-        this->owned.insert({ event.service, bucket });
+        const OwnedBucket taken { event.service, bucket };
+        this->takenAt[taken] = now;
+        this->owned.insert(taken);
+        this->formerlyOwned.erase(taken);
+        this->previousOwners.erase(taken);
+        if (const auto previous = event.previousOwners.find(bucket); previous != event.previousOwners.end())
+            this->previousOwners.emplace(taken, previous->second);
     }
     this->ownershipChanged(event.service, buckets); // Another owner may have come and gone since they were placed.
     this->actions.emplace_back(LogOwner { Event::OwnershipTaken, event.service, {}, RefusalReason::None });
     this->closeAbandonedRecords(now);
+    this->resumeAbandoned(now);
 }
 
 /**
@@ -221,9 +242,7 @@
 {
     std::map<RequestId, Item*> abandoned;
     for (auto& item : this->requests) {
-        const auto lost = this->lostPeers.find(item.second.id.owner);
-        const bool isLost = lost != this->lostPeers.end() && item.second.id.epoch <= lost->second;
-        if (isLost && item.second.stage == Stage::RecordOpen
+        if (this->isFromLostProcess(item.second.id) && item.second.stage == Stage::RecordOpen
             && this->owned.contains({ item.first.service, item.second.bucket }))
             abandoned.emplace(item.second.id, &item);
     }
@@ -233,11 +252,19 @@
     }
 }
 
-void RequestOwner::on(const OwnershipLost& event, TimePoint)
+void RequestOwner::on(const OwnershipLost& event, TimePoint now)
 {
-    for (const BucketIndex bucket : event.buckets)
-        this->owned.erase({ event.service, bucket });
+    for (const BucketIndex bucket : event.buckets) {
+        const OwnedBucket lost { event.service, bucket };
+        if (this->owned.erase(lost) == 0)
+            continue;
+        // Takeovers longer ago than any key is kept have been forgotten.
+        const auto taken = this->takenAt.find(lost);
+        const TimePoint since = taken == this->takenAt.end() ? now - this->settings.exchangeLifetime : taken->second;
+        this->formerlyOwned[lost] = { since, now };
+    }
     this->ownershipChanged(event.service, { event.buckets.begin(), event.buckets.end() });
+    this->handOver(event, now);
 }
 
 /**
@@ -273,7 +300,7 @@
         known->second = KnownHome { *event.home, now + this->settings.longestDeadline + this->settings.slotGrace };
     const auto held = this->active;
     for (const auto& [number, item] : held) {
-        const bool isMoved = item->second.stage == Stage::Observing && item->second.progress->home != event.home;
+        const bool isMoved = item->second.progress->observeSequence > 0 && item->second.progress->home != event.home;
         if (isMoved && item->second.progress->upstream == event.upstream)
             this->moveObservation(*item, now);
     }
@@ -283,18 +310,23 @@
 {
     Epoch& lost = this->lostPeers[event.peer.instance];
     lost = std::max(lost, event.peer.epoch);
+    std::erase_if(this->previousOwners, [&](const auto& previous) { return previous.second == event.peer.instance; });
     this->closeAbandonedRecords(now);
     const auto held = this->active;
     for (const auto& [number, item] : held) {
         Request& request = item->second;
         Progress& progress = *request.progress;
-        if (request.stage == Stage::Recording && progress.deputy == event.peer.instance)
+        if (request.stage == Stage::Asking && progress.previousOwner == event.peer.instance)
+            this->refuse(*item, RequestOutcome::Unknown, RefusalReason::OutcomeUnknown, Seconds { 0 }, now);
+        else if (request.stage == Stage::Recording && progress.deputy == event.peer.instance)
             this->refuse(*item, RequestOutcome::NotRun, RefusalReason::DeputyUnavailable, Seconds { 1 }, now);
-        else if (request.stage == Stage::Dispatched && progress.home == event.peer) {
+        else if (request.stage == Stage::Dispatched && progress.home == event.peer && progress.observeSequence == 0) {
             progress.mayHaveRun = true;
             this->retry(*item, RetryReason::HomeChanged, RefusalReason::HomeUnavailable, Seconds { 1 }, now);
         }
     }
+    // Observations whose home died too are registered again with the next HomeChanged.
+    this->resumeAbandoned(now);
 }
 
 void RequestOwner::on(const OwnerConfigured& event, TimePoint) { this->configuration = event.configuration; }
--- a/src/zinnia/request/owner.hpp
+++ b/src/zinnia/request/owner.hpp
@@ -45,6 +45,11 @@
     Milliseconds slotGrace { 1000 };
     /** Prefers upstreams whose home has not just changed. */
     bool avoidNewHomes = true;
+    /** A deputy hears of an observation again after this long, as it may have missed its end. */
+    Seconds observationRefresh { 60 };
+    /** Added to the Observe value by an owner that goes on with an observation; more than come between two refreshes.
+     */
+    std::uint32_t observationStep { 1U << 16U };
     /** Time for the result that a home sends at the deadline. */
     Milliseconds resultGrace { 500 };
     Milliseconds recordInterval { 200 };
@@ -79,8 +84,20 @@
     [[nodiscard]] bool isIdle() const noexcept;
 
 private:
-    /** `Waiting`: for the lease, without which another entry may own the bucket by now. */
-    enum class Stage : unsigned char { Waiting, Recording, Dispatched, Observing, Ended, RecordOpen, RecordClosed };
+    /**
+     * `Waiting`: for the lease, without which another entry may own the bucket by now. `Asking`: the previous owner,
+     * which may know a copy.
+     */
+    enum class Stage : unsigned char {
+        Waiting,
+        Asking,
+        Recording,
+        Dispatched,
+        Observing,
+        Ended,
+        RecordOpen,
+        RecordClosed
+    };
 
     /** @brief What is only needed until a request has ended. */
     struct Progress {
@@ -89,11 +106,14 @@
         std::vector<UpstreamId> candidates;
         std::size_t nextCandidate = 0;
         std::optional<InstanceId> deputy;
-        /** A record was sent, so that the deputy is told of the end. */
-        bool recordSent = false;
+        /** Who was sent a record, and is therefore told of the end. */
+        std::set<InstanceId> recordHolders;
+        std::optional<InstanceId> previousOwner;
         bool mayHaveRun = false;
         bool observe = false;
         std::uint32_t attempt = 0;
+        /** Attempts before an observation was registered again; they do not count as its retries. */
+        std::uint32_t attemptsBefore = 0;
         std::optional<PeerRef> home;
         UpstreamId upstream;
         TimePoint startedAt;
@@ -108,6 +128,10 @@
         std::uint32_t observeSequence = 0;
         std::uint16_t notificationId = 0;
         TimePoint confirmedAt;
+        /** The new owner, to which the observation is being handed over. */
+        std::optional<InstanceId> newOwner;
+        /** When the deputy or new owner is sent the observation again. */
+        TimePoint nextObservationRecord;
     };
 
     struct Request {
@@ -123,6 +147,13 @@
     };
 
     using Item = std::pair<const RequestKey, Request>;
+    using OwnedBucket = std::pair<ServiceId, BucketIndex>;
+
+    /** @brief When this entry owned a bucket that has another owner now. */
+    struct FormerOwnership {
+        TimePoint since;
+        TimePoint until;
+    };
 
     struct KnownHome {
         PeerRef peer;
@@ -130,6 +161,12 @@
         TimePoint busyUntil;
     };
 
+    /** @brief An observation of another owner, kept as its deputy. */
+    struct KeptObservation {
+        ObservationRecord record;
+        TimePoint expires;
+    };
+
     /** @brief A confirmable message to a caller that has not been acknowledged. */
     struct Unconfirmed {
         ServiceId service;
@@ -146,6 +183,9 @@
     void on(const ResultReceived& event, TimePoint now);
     void on(const RecordReceived& event, TimePoint now);
     void on(const RecordAckReceived& event, TimePoint now);
+    void on(const ObservationRecordReceived& event, TimePoint now);
+    void on(const ObservationRecordAckReceived& event, TimePoint now);
+    void on(const DeputiesChanged& event, TimePoint now);
     void on(const OwnershipTaken& event, TimePoint now);
     void on(const OwnershipLost& event, TimePoint now);
     void on(const HomeChanged& event, TimePoint now);
@@ -170,18 +210,35 @@
     void ownershipChanged(ServiceId service, const std::set<BucketIndex>& buckets);
     [[nodiscard]] bool holdsLease(TimePoint now) const noexcept;
     [[nodiscard]] bool mayBeKnownElsewhere(const Item& item, TimePoint now) const;
+    [[nodiscard]] Milliseconds possibleAge(const Progress& progress, TimePoint now) const;
+    void beginFresh(Item& item, TimePoint now);
     void begin(Item& item, TimePoint now);
     void drop(Item& item);
     [[nodiscard]] const config::Service* serviceOf(ServiceId id) const;
 
+    // Planned changes of owner: owner_takeover.cpp
+    [[nodiscard]] bool askPreviousOwner(Item& item, TimePoint now);
+    void answeredByPreviousOwner(Item& item, const RecordRequestAck& ack, TimePoint now);
+    void answerSuccessor(const RecordReceived& event, TimePoint now);
+    [[nodiscard]] bool addRecord(const RecordRequest& record, TimePoint now);
+
+    // Observations that change their owner: owner_observations.cpp
+    void sendObservation(Item& item, TimePoint now);
+    void handOver(const OwnershipLost& event, TimePoint now);
+    void resumeAbandoned(TimePoint now);
+    void resume(const ObservationRecord& record, TimePoint now);
+    [[nodiscard]] std::optional<InstanceId> deputyOf(const OwnedBucket& bucket) const;
+    [[nodiscard]] bool isFromLostProcess(const RequestId& id) const;
+
     // Attempts: owner_attempts.cpp
     void start(Item& item, TimePoint now);
     [[nodiscard]] bool chooseUpstream(Progress& progress, TimePoint now);
     void dispatch(Item& item, TimePoint now);
     void sendDispatch(Item& item, TimePoint now);
-    void sendRecord(Item& item, bool finished);
+    void sendRecord(Item& item, InstanceId to, bool finished, Milliseconds possibleAge = {});
     void retry(Item& item, RetryReason why, RefusalReason reason, Seconds retryAfter, TimePoint now);
     void moveObservation(Item& item, TimePoint now);
+    void registerAgain(Item& item, TimePoint now);
     void sendCancel(Item& item);
     void end(Item& item, RequestOutcome outcome, RefusalReason reason, TimePoint now);
     void refuse(Item& item, RequestOutcome outcome, RefusalReason reason, Seconds retryAfter, TimePoint now);
@@ -205,8 +262,13 @@
     std::deque<std::pair<TimePoint, RequestKey>> expiry;
     std::deque<RequestKey> answerOrder;
     std::deque<Unconfirmed> unconfirmed;
-    std::map<std::pair<ServiceId, BucketIndex>, TimePoint> takenAt;
-    std::set<std::pair<ServiceId, BucketIndex>> owned;
+    std::map<OwnedBucket, TimePoint> takenAt;
+    std::set<OwnedBucket> owned;
+    std::map<OwnedBucket, InstanceId> previousOwners;
+    std::map<OwnedBucket, FormerOwnership> formerlyOwned;
+    std::unordered_map<RequestKey, KeptObservation> keptObservations;
+    /** Deputies of own buckets; instance 0 for none. */
+    std::map<OwnedBucket, InstanceId> deputies;
     /** The newest process of each instance that is known to be gone. */
     std::map<InstanceId, Epoch> lostPeers;
     std::unordered_map<UpstreamId, KnownHome> homes;
--- a/src/zinnia/request/owner_attempts.cpp
+++ b/src/zinnia/request/owner_attempts.cpp
@@ -19,13 +19,15 @@
     }
     request.stage = Stage::Recording;
     progress.nextSend = now + this->settings.recordInterval;
-    this->sendRecord(item, false);
+    this->sendRecord(item, *progress.deputy, false);
 }
 
 bool RequestOwner::chooseUpstream(Progress& progress, TimePoint now)
 {
     const std::size_t count = progress.candidates.size();
-    for (const bool acceptsNewHome : { !this->settings.avoidNewHomes, true }) {
+    // An observation stays with its upstream: a short silence is better than a jump to another one's data.
+    const bool staysWithUpstream = progress.observeSequence > 0;
+    for (const bool acceptsNewHome : { staysWithUpstream || !this->settings.avoidNewHomes, true }) {
         for (std::size_t tried = 0; tried < count; ++tried) {
             const std::size_t index = (progress.nextCandidate + tried) % count;
             const UpstreamId candidate = progress.candidates[index];
@@ -82,12 +84,12 @@
     this->actions.emplace_back(SendToPeer { progress.home->instance, std::move(request) });
 }
 
-void RequestOwner::sendRecord(Item& item, bool finished)
+void RequestOwner::sendRecord(Item& item, InstanceId to, bool finished, Milliseconds possibleAge)
 {
     const Request& request = item.second;
-    request.progress->recordSent = true;
-    RecordRequest record { request.id, item.first, request.bucket, request.confirmable, finished };
-    this->actions.emplace_back(SendToPeer { *request.progress->deputy, std::move(record) });
+    request.progress->recordHolders.insert(to);
+    RecordRequest record { request.id, item.first, request.bucket, request.confirmable, finished, possibleAge };
+    this->actions.emplace_back(SendToPeer { to, std::move(record) });
 }
 
 void RequestOwner::retry(Item& item, RetryReason why, RefusalReason reason, Seconds retryAfter, TimePoint now)
@@ -96,11 +98,13 @@
     const auto outcome = progress.mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun;
     const bool isSafe = !progress.mayHaveRun || item.second.idempotent || this->settings.retryUnknown;
     const bool isInTime = progress.deadline - now >= this->settings.shortestRetry;
-    if (!isSafe || !isInTime || progress.attempt >= this->settings.maxAttempts) {
+    if (!isSafe || !isInTime || progress.attempt - progress.attemptsBefore >= this->settings.maxAttempts) {
         this->refuse(item, outcome, reason, retryAfter, now);
         return;
     }
-    if (this->settings.limitRetries && !this->budgetOf(item.first.service).take()) {
+    // The caller of an observation has asked once; that it is registered again is no work of its making.
+    const bool isLimited = this->settings.limitRetries && progress.observeSequence == 0;
+    if (isLimited && !this->budgetOf(item.first.service).take()) {
         this->refuse(item, outcome, RefusalReason::RetryBudgetSpent, retryAfter, now);
         return;
     }
@@ -112,11 +116,17 @@
 /** Registers an observation again. It does not count as a retry: the caller asked for it only once. */
 void RequestOwner::moveObservation(Item& item, TimePoint now)
 {
-    Progress& progress = *item.second.progress;
     this->sendCancel(item);
+    this->registerAgain(item, now);
+}
+
+void RequestOwner::registerAgain(Item& item, TimePoint now)
+{
+    Progress& progress = *item.second.progress;
     const auto current = std::find(progress.candidates.begin(), progress.candidates.end(), progress.upstream);
     progress.nextCandidate = static_cast<std::size_t>(current - progress.candidates.begin());
     progress.attempt = std::max(progress.attempt, 1U);
+    progress.attemptsBefore = progress.attempt;
     progress.mayHaveRun = true; // The registration has run at the earlier upstream.
     progress.deadline = now + this->settings.longestDeadline;
     this->actions.emplace_back(
@@ -144,6 +154,13 @@
             this->drop(item);
         return;
     }
+    if (request.stage == Stage::Asking) {
+        if (now >= progress.deadline || now - progress.startedAt >= this->settings.recordTimeout)
+            this->refuse(item, RequestOutcome::Unknown, RefusalReason::OutcomeUnknown, Seconds { 0 }, now);
+        else if (now >= progress.nextSend)
+            (void)this->askPreviousOwner(item, now);
+        return;
+    }
     if (request.stage == Stage::Recording) {
         if (now >= progress.deadline)
             this->refuse(item, RequestOutcome::NotRun, RefusalReason::DeadlineExceeded, Seconds { 0 }, now);
@@ -151,10 +168,12 @@
             this->refuse(item, RequestOutcome::NotRun, RefusalReason::DeputyUnavailable, Seconds { 1 }, now);
         else if (now >= progress.nextSend) {
             progress.nextSend = now + this->settings.recordInterval;
-            this->sendRecord(item, false);
+            this->sendRecord(item, *progress.deputy, false);
         }
         return;
     }
+    if (progress.observeSequence > 0 && now >= progress.nextObservationRecord)
+        this->sendObservation(item, now);
     if (request.stage != Stage::Dispatched)
         return;
     if (now >= progress.deadline + this->settings.resultGrace) {
@@ -189,8 +208,14 @@
     if (!wasReported)
         this->actions.emplace_back(RequestEnded { request.id, outcome, reason });
     if (request.progress) {
-        if (request.progress->recordSent && reason != RefusalReason::AlreadyRecorded)
-            this->sendRecord(item, true);
+        if (request.progress->observe && request.progress->deputy)
+            this->actions.emplace_back(SendToPeer { *request.progress->deputy,
+                ObservationRecord { request.id, item.first, request.bucket, {}, {}, 0, false, true } });
+        if (reason != RefusalReason::AlreadyRecorded) {
+            const std::set<InstanceId> holders = request.progress->recordHolders;
+            for (const InstanceId holder : holders)
+                this->sendRecord(item, holder, true);
+        }
         this->active.erase(request.id.number);
         request.progress.reset();
     }
@@ -234,6 +259,9 @@
         this->answerOrder.pop_front();
     std::erase_if(
         this->takenAt, [&](const auto& taken) { return now - taken.second >= this->settings.exchangeLifetime; });
+    std::erase_if(this->keptObservations, [&](const auto& kept) { return now >= kept.second.expires; });
+    std::erase_if(this->formerlyOwned,
+        [&](const auto& former) { return now - former.second.until >= this->settings.exchangeLifetime; });
 }
 
 bool RequestOwner::makeRoom(TimePoint now)
--- a/src/zinnia/request/owner_callers.cpp
+++ b/src/zinnia/request/owner_callers.cpp
@@ -1,3 +1,4 @@
+#include "zinnia/request/observe_value.hpp"
 #include "zinnia/request/owner.hpp"
 
 #include <algorithm>
@@ -32,13 +33,6 @@
             message.addUint(coap::observe, *value);
     }
 
-    /** @brief Order of Observe values, which wrap at 24 bits (RFC 7641, section 3.4). */
-    bool isNewer(std::uint32_t value, std::uint32_t than)
-    {
-        constexpr std::uint32_t half = 1U << 23U;
-        return (than < value && value - than < half) || (than > value && than - value > half);
-    }
-
 } // namespace
 
 const config::Service* RequestOwner::serviceOf(ServiceId id) const
@@ -73,6 +67,7 @@
         this->respond(item, refusalMessage(RequestOutcome::Unknown, RefusalReason::OutcomeUnknown, Seconds { 0 }), now);
         break;
     case Stage::Waiting:
+    case Stage::Asking:
     case Stage::Recording:
         break; // An acknowledged caller stays silent, and nobody else knows of the request yet.
     case Stage::Dispatched:
@@ -155,20 +150,22 @@
 {
     Progress& progress = *item.second.progress;
     const auto value = message.uintOption(coap::observe);
-    const auto sequence = static_cast<std::uint32_t>(value.value_or(0) & 0xFFFFFFU);
-    if (value && progress.newestNotification && !isNewer(sequence, *progress.newestNotification))
+    const auto sequence = static_cast<std::uint32_t>(value.value_or(0) & observeMask);
+    if (value && progress.newestNotification && !isNewerObserveValue(sequence, *progress.newestNotification))
         return;
     progress.newestNotification = sequence;
-    progress.observeSequence = (progress.observeSequence + 1) & 0xFFFFFFU;
+    const bool isFirst = progress.observeSequence == 0;
+    progress.observeSequence = nextObserveValue(progress.observeSequence, 1);
     CoapMessage forwarded = message;
     // Attempts count on their own, so the caller gets one count over all homes.
     setObserve(forwarded, value ? std::optional { progress.observeSequence } : std::nullopt);
-    const bool isFirst = !item.second.answer;
     item.second.stage = Stage::Observing;
     if (isFirst) {
         progress.confirmedAt = now;
         this->respond(item, std::move(forwarded), now);
         this->actions.emplace_back(RequestEnded { item.second.id, RequestOutcome::Answered, RefusalReason::None });
+        if (value)
+            this->sendObservation(item, now);
     } else {
         forwarded.token = item.first.token;
         forwarded.messageId = this->nextMessageId++;
--- a/src/zinnia/request/owner_events.hpp
+++ b/src/zinnia/request/owner_events.hpp
@@ -5,6 +5,7 @@
 #include "zinnia/request/home_events.hpp"
 #include "zinnia/request/messages.hpp"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <variant>
@@ -50,16 +51,38 @@
     RecordRequestAck ack;
 };
 
+/** @brief A message from an owner whose observations this entry keeps or goes on with. */
+struct ObservationRecordReceived {
+    InstanceId from;
+    ObservationRecord record;
+};
+
+/** @brief A message from the receiver of an observation record. */
+struct ObservationRecordAckReceived {
+    InstanceId from;
+    ObservationRecordAck ack;
+};
+
 /** @brief This entry became the owner of buckets, without the previous owner's table. */
 struct OwnershipTaken {
     ServiceId service;
     std::vector<BucketIndex> buckets;
+    /** Previous owners whose process still runs, as after a planned stop; they are asked for what they know. */
+    std::map<BucketIndex, InstanceId> previousOwners;
 };
 
 /** @brief Another entry became the owner of buckets; requests in progress are finished here. */
 struct OwnershipLost {
     ServiceId service;
     std::vector<BucketIndex> buckets;
+    /** Who observations are handed over to; a bucket whose owner is in another zone has none. */
+    std::map<BucketIndex, InstanceId> newOwners;
+};
+
+/** @brief Buckets of this owner have another deputy, or none (instance 0). */
+struct DeputiesChanged {
+    ServiceId service;
+    std::map<BucketIndex, InstanceId> deputies;
 };
 
 /** @brief The home of an upstream as this entry sees it. */
@@ -83,9 +106,9 @@
 /** @brief The entry is going to stop: new requests are refused, the others are finished. */
 struct OwnerStop { };
 
-using OwnerEvent
-    = std::variant<PlacedRequest, CallerReply, ResultReceived, RecordReceived, RecordAckReceived, OwnershipTaken,
-        OwnershipLost, HomeChanged, PeerLost, OwnerConfigured, UpstreamsUpdated, LeaseExtended, OwnerTick, OwnerStop>;
+using OwnerEvent = std::variant<PlacedRequest, CallerReply, ResultReceived, RecordReceived, RecordAckReceived,
+    ObservationRecordReceived, ObservationRecordAckReceived, OwnershipTaken, OwnershipLost, DeputiesChanged,
+    HomeChanged, PeerLost, OwnerConfigured, UpstreamsUpdated, LeaseExtended, OwnerTick, OwnerStop>;
 
 /** @brief Sends a CoAP message to a caller, from the address of the service. */
 struct SendToCaller {
@@ -94,7 +117,8 @@
     CoapMessage message;
 };
 
-using PeerMessage = std::variant<RecordRequest, RecordRequestAck, DispatchRequest, CancelRequest>;
+using PeerMessage = std::variant<RecordRequest, RecordRequestAck, DispatchRequest, CancelRequest, ObservationRecord,
+    ObservationRecordAck>;
 
 /** @brief Sends a message to another entry, or to this one. */
 struct SendToPeer {
--- a/src/zinnia/wire/envelope.hpp
+++ b/src/zinnia/wire/envelope.hpp
@@ -31,6 +31,8 @@
     RequestResult = 12,
     CancelRequest = 13,
     UpstreamUpdate = 14,
+    ObservationRecord = 15,
+    ObservationRecordAck = 16,
     ConfigPoll = 20,
     ConfigReply = 21,
     Consensus = 30,
--- a/src/zinnia/wire/peer_codec.cpp
+++ b/src/zinnia/wire/peer_codec.cpp
@@ -12,7 +12,7 @@
         MessageKind::ReplicateAck, MessageKind::HandoverRequest, MessageKind::HandoverRecords,
         MessageKind::HandoverDone, MessageKind::HandoverAck, MessageKind::RecordRequest, MessageKind::RecordRequestAck,
         MessageKind::DispatchRequest, MessageKind::RequestResult, MessageKind::CancelRequest,
-        MessageKind::UpstreamUpdate };
+        MessageKind::UpstreamUpdate, MessageKind::ObservationRecord, MessageKind::ObservationRecordAck };
     static_assert(kinds.size() == std::variant_size_v<entry::PeerMessage>);
 
     using Decoded = Result<entry::PeerMessage, RefusalReason>;
--- a/test/zinnia/entry/cluster.cpp
+++ b/test/zinnia/entry/cluster.cpp
@@ -18,17 +18,8 @@
     , random { options.seed }
 {
     for (const config::Entry& entry : this->configuration.entries) {
-        NodeSettings settings;
-        settings.self = entry.id;
-        settings.zone = entry.zone;
-        settings.epoch = Epoch { 1 };
-        settings.cluster = this->configuration.cluster;
-        settings.seed = options.seed + entry.id.value;
-        Node& node = this->nodes[entry.id];
-        node.zone = entry.zone;
-        node.node = std::move(EntryNode::create(settings, this->codec, this->current).value());
-        this->handle(
-            entry.id, ConfigurationOffered { std::make_shared<const config::Configuration>(this->configuration) });
+        this->nodes[entry.id].zone = entry.zone;
+        this->start(entry.id);
         // The ticks of the processes are not in step.
         this->later(this->travel(), [this, id = entry.id] { this->tick(id); });
     }
@@ -42,6 +33,21 @@
     this->run(untilReady);
 }
 
+void Cluster::start(InstanceId id)
+{
+    Node& node = this->nodes.at(id);
+    node.epoch = Epoch { node.epoch.value + 1 };
+    node.stopped = false;
+    NodeSettings settings;
+    settings.self = id;
+    settings.zone = node.zone;
+    settings.epoch = node.epoch;
+    settings.cluster = this->configuration.cluster;
+    settings.seed = this->options.seed + id.value;
+    node.node = std::move(EntryNode::create(settings, this->codec, this->current).value());
+    this->handle(id, ConfigurationOffered { std::make_shared<const config::Configuration>(this->configuration) });
+}
+
 void Cluster::run(Milliseconds duration)
 {
     const TimePoint end = this->current + duration;
--- a/test/zinnia/entry/cluster.hpp
+++ b/test/zinnia/entry/cluster.hpp
@@ -51,6 +51,8 @@
     explicit Cluster(const Options& options = {});
 
     void run(Milliseconds duration);
+    /** @brief Starts a process of the entry, with a later epoch than the one before. */
+    void start(InstanceId id);
     void kill(InstanceId id) { this->nodes.at(id).node.reset(); }
     void stop(InstanceId id) { this->handle(id, StopRequested {}); }
     /** @brief Cuts a zone off from the others. */
@@ -87,6 +89,7 @@
         ZoneId zone;
         std::unique_ptr<EntryNode> node;
         bool stopped = false;
+        Epoch epoch;
         std::optional<TimePoint> changedAt;
     };
 
--- a/test/zinnia/entry/cluster_test.cpp
+++ b/test/zinnia/entry/cluster_test.cpp
@@ -94,8 +94,88 @@
         }
     }
 
+    constexpr std::uint16_t streams = 24;
+
+    /** @brief Registers the streams at the entries in turn. */
+    void observeStreams(Cluster& cluster)
+    {
+        const std::vector<InstanceId> live = cluster.live();
+        // Callers that hear nothing send again, as the network loses packets.
+        for (int copy = 0; copy < 3; ++copy) {
+            for (std::uint16_t index = 0; index < streams; ++index) {
+                CoapMessage request = makeRequest("stream", index, coap::get);
+                request.addUint(coap::observe, 0);
+                if (cluster.answersTo(caller(index)).empty())
+                    cluster.send(live[index % live.size()], caller(index), request);
+            }
+            cluster.run(Milliseconds { 300 });
+        }
+    }
+
+    /** @brief Lets time pass until a change is known everywhere, while the upstreams announce themselves. */
+    void settle(Cluster& cluster)
+    {
+        for (int second = 0; second < 8; ++second) {
+            for (const auto& [address, upstream] : cluster.upstreams)
+                cluster.announce(upstream);
+            cluster.run(Milliseconds { 1000 });
+        }
+    }
+
+    /** @return The streams whose caller gets nothing when the upstreams notify, or something that is not newer. */
+    std::vector<std::uint16_t> brokenStreams(Cluster& cluster)
+    {
+        std::vector<std::size_t> before;
+        for (std::uint16_t index = 0; index < streams; ++index)
+            before.push_back(cluster.answersTo(caller(index)).size());
+        // One notification may be lost between two entries; the next replaces it.
+        for (int round = 0; round < 3; ++round) {
+            for (const auto& [address, upstream] : cluster.upstreams)
+                cluster.notify(upstream);
+            cluster.run(Milliseconds { 100 });
+        }
+        std::vector<std::uint16_t> broken;
+        for (std::uint16_t index = 0; index < streams; ++index) {
+            std::vector<CoapMessage> answers = cluster.answersTo(caller(index));
+            const std::size_t received = answers.size();
+            // Retransmissions of confirmable messages are known to callers by their message id.
+            const auto isSame
+                = [](const CoapMessage& left, const CoapMessage& right) { return left.messageId == right.messageId; };
+            answers.erase(std::unique(answers.begin(), answers.end(), isSame), answers.end());
+            const auto isOlder = [](const CoapMessage& left, const CoapMessage& right) {
+                return left.uintOption(coap::observe).value_or(0) >= right.uintOption(coap::observe).value_or(0);
+            };
+            const bool goesBack = std::adjacent_find(answers.begin(), answers.end(), isOlder) != answers.end();
+            if (received == before[index] || goesBack)
+                broken.push_back(index);
+        }
+        return broken;
+    }
+
 } // namespace
 
+// Guards against streams that fall silent, or come twice, when their entry dies, returns, or stops as planned.
+TEST(EntryClusterTest, streamsSurviveTheDeathTheReturnAndTheStopOfAnyEntry)
+{
+    for (const InstanceId entry : { InstanceId { 11 }, InstanceId { 22 }, InstanceId { 33 } }) {
+        Cluster cluster { { 0.05, 0.05, 7 } };
+        observeStreams(cluster);
+        EXPECT_EQ(brokenStreams(cluster), std::vector<std::uint16_t> {}) << entry.value << " before the death";
+        cluster.kill(entry);
+        settle(cluster);
+        EXPECT_EQ(brokenStreams(cluster), std::vector<std::uint16_t> {}) << entry.value << " after the death";
+        cluster.start(entry);
+        settle(cluster);
+        EXPECT_EQ(brokenStreams(cluster), std::vector<std::uint16_t> {}) << entry.value << " after the return";
+        cluster.stop(entry);
+        for (int i = 0; i < 20 && !cluster.hasStopped(entry); ++i)
+            cluster.run(Milliseconds { 500 });
+        cluster.kill(entry);
+        settle(cluster);
+        EXPECT_EQ(brokenStreams(cluster), std::vector<std::uint16_t> {}) << entry.value << " after the stop";
+    }
+}
+
 // Guards against entries that can only answer the requests of their own buckets.
 TEST(EntryClusterTest, requestIsAnsweredWhicheverEntryGetsIt)
 {
--- a/test/zinnia/request/owner_test.cpp
+++ b/test/zinnia/request/owner_test.cpp
@@ -1,5 +1,6 @@
 #include "zinnia/request/owner.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace zinnia::request {
@@ -151,5 +152,304 @@
         EXPECT_TRUE(collect<SendToCaller>(this->result(moved, ResultKind::Notification, 2)).empty());
     }
 
+    constexpr InstanceId otherOwner { 9 };
+
+    /** @brief Requests within the takeover margin after a planned change from another owner to this one, or back. */
+    class TakeoverTest : public OwnerTest {
+    protected:
+        OwnerActions take() { return this->handle(OwnershipTaken { service, { bucket }, { { bucket, otherOwner } } }); }
+
+        OwnerActions placeAged(std::uint16_t messageId, Milliseconds age)
+        {
+            CoapMessage message;
+            message.type = CoapType::Confirmable;
+            message.code = coap::post;
+            message.messageId = messageId;
+            message.token = { 5 };
+            message.addUint(coap::age, static_cast<std::uint64_t>(age.count()));
+            return this->handle(
+                PlacedRequest { service, caller, {}, bucket, { UpstreamId { 1 } }, std::nullopt, message });
+        }
+
+        OwnerActions acknowledge(const RecordRequest& record, RefusalReason reason)
+        {
+            return this->handle(RecordAckReceived { otherOwner, { record.id, reason, {} } });
+        }
+
+        /** @brief The question of the instance that took the bucket over from this one. */
+        OwnerActions askedBySuccessor(std::uint16_t messageId, Milliseconds possibleAge)
+        {
+            RecordRequest record;
+            record.id = { otherOwner, Epoch { 1 }, messageId };
+            record.key = { service, caller, messageId, { 5 } };
+            record.bucket = bucket;
+            record.confirmable = true;
+            record.possibleAge = possibleAge;
+            return this->handle(RecordReceived { otherOwner, record });
+        }
+
+        static std::vector<RecordRequest> records(const OwnerActions& actions)
+        {
+            std::vector<RecordRequest> found;
+            for (const auto& action : collect<SendToPeer>(actions)) {
+                if (const auto* record = std::get_if<RecordRequest>(&action.message))
+                    found.push_back(*record);
+            }
+            return found;
+        }
+
+        static std::optional<RefusalReason> ackOf(const OwnerActions& actions)
+        {
+            for (const auto& action : collect<SendToPeer>(actions)) {
+                if (const auto* ack = std::get_if<RecordRequestAck>(&action.message))
+                    return ack->reason;
+            }
+            return std::nullopt;
+        }
+
+        static constexpr BucketIndex bucket { 3 };
+        static constexpr Milliseconds margin { OwnerSettings {}.takeoverMargin };
+    };
+
+    // Guards against a refusal of first copies that arrive just after the planned stop of their owner.
+    TEST_F(TakeoverTest, RunsAFirstCopyOfWhichThePreviousOwnerKnowsNothing)
+    {
+        (void)this->take();
+        this->now += Milliseconds { 100 };
+        const OwnerActions asked = this->placeAged(7, Milliseconds { 0 });
+        ASSERT_EQ(records(asked).size(), 1U);
+        EXPECT_EQ(records(asked).front().possibleAge, margin);
+        EXPECT_EQ(dispatched(asked).attempt, 0U) << "not before the previous owner has answered";
+        const auto request = dispatched(this->acknowledge(records(asked).front(), RefusalReason::None));
+        EXPECT_EQ(request.attempt, 1U);
+        const OwnerActions ended = this->result(request, ResultKind::Answered);
+        EXPECT_EQ(collect<SendToCaller>(ended).size(), 1U);
+        ASSERT_EQ(records(ended).size(), 1U);
+        EXPECT_TRUE(records(ended).front().finished);
+    }
+
+    // Guards against a second run, and against an answer that contradicts the one of the previous owner.
+    TEST_F(TakeoverTest, LeavesACopyThatThePreviousOwnerKnowsToIt)
+    {
+        (void)this->take();
+        const OwnerActions asked = this->placeAged(7, Milliseconds { 0 });
+        const OwnerActions known = this->acknowledge(records(asked).front(), RefusalReason::AlreadyRecorded);
+        EXPECT_EQ(dispatched(known).attempt, 0U);
+        EXPECT_TRUE(collect<SendToCaller>(known).empty());
+    }
+
+    // Guards against a caller that waits in vain for a previous owner that has died at work.
+    TEST_F(TakeoverTest, TellsTheCallerIfThePreviousOwnerDiesWithItsCopy)
+    {
+        (void)this->take();
+        for (const bool isFinished : { false, true }) {
+            const std::uint16_t messageId = isFinished ? 8 : 7;
+            const RecordRequest asked = records(this->placeAged(messageId, Milliseconds { 0 })).front();
+            const RequestId copy { otherOwner, Epoch { 1 }, messageId };
+            (void)this->handle(RecordAckReceived { otherOwner, { asked.id, RefusalReason::AlreadyRecorded, copy } });
+            if (isFinished)
+                (void)this->handle(
+                    RecordReceived { otherOwner, { copy, asked.key, bucket, true, true, Milliseconds { 0 } } });
+        }
+        const auto told = collect<SendToCaller>(this->handle(PeerLost { { otherOwner, Epoch { 1 } } }));
+        ASSERT_EQ(told.size(), 1U) << "the other one has been answered";
+        EXPECT_EQ(told.front().message.uintOption(coap::outcome), 2U);
+    }
+
+    // Guards against a request that runs although the only instance that may know a copy cannot be asked.
+    TEST_F(TakeoverTest, AnswersUnknownIfThePreviousOwnerCannotSay)
+    {
+        const auto isUnknown = [](const OwnerActions& actions) {
+            const auto ended = collect<RequestEnded>(actions);
+            return ended.size() == 1 && ended.front().outcome == RequestOutcome::Unknown
+                && dispatched(actions).attempt == 0;
+        };
+        (void)this->take();
+        const OwnerActions asked = this->placeAged(7, Milliseconds { 0 });
+        EXPECT_TRUE(isUnknown(this->acknowledge(records(asked).front(), RefusalReason::OutcomeUnknown)));
+        (void)this->placeAged(8, Milliseconds { 0 });
+        EXPECT_TRUE(isUnknown(this->handle(PeerLost { { otherOwner, Epoch { 1 } } })));
+        EXPECT_TRUE(isUnknown(this->placeAged(9, Milliseconds { 0 }))) << "there is nobody left to ask";
+        (void)this->take();
+        EXPECT_EQ(records(this->placeAged(10, Milliseconds { 0 })).size(), 1U);
+        this->now += Milliseconds { 200 };
+        EXPECT_EQ(records(this->handle(OwnerTick {})).size(), 1U) << "the question is repeated";
+        this->now += OwnerSettings {}.recordTimeout;
+        EXPECT_TRUE(isUnknown(this->handle(OwnerTick {})));
+    }
+
+    // Guards against a previous owner that lets a copy run twice, or forgets the answer that it gave.
+    TEST_F(TakeoverTest, PreviousOwnerRepeatsItsAnswerAndRunsNoLateCopy)
+    {
+        (void)this->take();
+        this->now += Seconds { 10 };
+        const auto request = dispatched(this->placeAged(7, Milliseconds { 0 }));
+        const auto answer = collect<SendToCaller>(this->result(request, ResultKind::Answered)).front().message;
+        EXPECT_FALSE(ackOf(this->askedBySuccessor(7, margin))) << "this entry has not seen the change yet";
+        (void)this->handle(OwnershipLost { service, { bucket }, {} });
+        const OwnerActions repeated = this->askedBySuccessor(7, margin);
+        EXPECT_EQ(ackOf(repeated), RefusalReason::AlreadyRecorded);
+        ASSERT_FALSE(collect<SendToCaller>(repeated).empty());
+        EXPECT_EQ(collect<SendToCaller>(repeated).front().message, answer);
+        EXPECT_EQ(ackOf(this->askedBySuccessor(8, margin)), RefusalReason::None);
+        EXPECT_EQ(ackOf(this->askedBySuccessor(8, margin)), RefusalReason::None) << "the question was repeated";
+        EXPECT_EQ(dispatched(this->placeAged(8, Milliseconds { 0 })).attempt, 0U) << "recorded for the new owner";
+    }
+
+    // Guards against "not known" from an entry that was not the owner when the first copy may have arrived.
+    TEST_F(TakeoverTest, PreviousOwnerAnswersOnlyForTheTimeThatItOwned)
+    {
+        EXPECT_EQ(ackOf(this->askedBySuccessor(7, margin)), RefusalReason::OutcomeUnknown) << "never owned";
+        (void)this->take();
+        this->now += Milliseconds { 100 };
+        (void)this->handle(OwnershipLost { service, { bucket }, {} });
+        EXPECT_EQ(ackOf(this->askedBySuccessor(7, margin)), RefusalReason::OutcomeUnknown);
+        this->now += margin;
+        EXPECT_EQ(ackOf(this->askedBySuccessor(7, margin)), RefusalReason::None);
+        EXPECT_EQ(ackOf(this->askedBySuccessor(8, Seconds { 2 })), RefusalReason::OutcomeUnknown);
+    }
+
+    /** @brief Observations whose bucket changes its owner. */
+    class MovedObservationTest : public TakeoverTest {
+    protected:
+        static std::vector<ObservationRecord> observations(const OwnerActions& actions)
+        {
+            std::vector<ObservationRecord> found;
+            for (const auto& action : collect<SendToPeer>(actions)) {
+                if (const auto* record = std::get_if<ObservationRecord>(&action.message))
+                    found.push_back(*record);
+            }
+            return found;
+        }
+
+        /** @brief An observation of the other owner, as it tells its deputy or its successor. */
+        OwnerActions offered(bool handedOver, bool ended = false)
+        {
+            ObservationRecord record;
+            record.id = { otherOwner, Epoch { 1 }, 4 };
+            record.key = { service, caller, 7, { 5 } };
+            record.bucket = bucket;
+            record.message.code = coap::get;
+            record.message.messageId = 7;
+            record.message.token = { 5 };
+            record.message.addUint(coap::observe, 0);
+            record.candidates = { UpstreamId { 2 }, UpstreamId { 1 } };
+            record.observeSequence = 40;
+            record.handedOver = handedOver;
+            record.ended = ended;
+            return this->handle(ObservationRecordReceived { otherOwner, record });
+        }
+
+        static bool isAcknowledged(const OwnerActions& actions)
+        {
+            const auto sent = collect<SendToPeer>(actions);
+            return std::any_of(sent.begin(), sent.end(),
+                [](const auto& action) { return std::holds_alternative<ObservationRecordAck>(action.message); });
+        }
+    };
+
+    // Guards against a stream that stays silent after its owner died, and against a count that goes back.
+    TEST_F(MovedObservationTest, DeputyGoesOnWithTheObservationsOfADeadOwner)
+    {
+        EXPECT_TRUE(isAcknowledged(this->offered(false)));
+        (void)this->handle(PeerLost { { otherOwner, Epoch { 1 } } });
+        const auto request = dispatched(this->handle(OwnershipTaken { service, { bucket }, {} }));
+        EXPECT_EQ(request.upstream, UpstreamId { 2 }) << "the upstream of the flow";
+        EXPECT_TRUE(request.observe);
+        const auto sent = collect<SendToCaller>(this->result(request, ResultKind::Answered, 1));
+        ASSERT_EQ(sent.size(), 1U);
+        EXPECT_EQ(sent.front().caller, caller);
+        EXPECT_EQ(sent.front().message.token, Bytes { 5 });
+        EXPECT_GT(sent.front().message.uintOption(coap::observe), 40U + 60U);
+    }
+
+    // Guards against a stream that jumps to another upstream whenever the home of its own one changes.
+    TEST_F(MovedObservationTest, AnObservationStaysWithItsUpstreamWhenTheHomeChanges)
+    {
+        const auto request = dispatched(this->place(7, coap::get, true));
+        (void)this->result(request, ResultKind::Answered, 10);
+        const PeerRef next { InstanceId { 3 }, Epoch { 1 } };
+        const auto moved = dispatched(this->handle(HomeChanged { request.upstream, next }));
+        EXPECT_EQ(moved.upstream, request.upstream);
+        // The new home dies too, before it has answered.
+        const auto again = dispatched(this->handle(HomeChanged { request.upstream, homePeer }));
+        EXPECT_EQ(again.upstream, request.upstream);
+        EXPECT_GT(again.attempt, moved.attempt);
+    }
+
+    // Load: an entry dies that was the owner of many streams and the home of their upstream. Guards against streams
+    // that end because the retry budget of their service is spent.
+    TEST_F(MovedObservationTest, StreamsOfADeadOwnerAndHomeNeedNoRetryBudget)
+    {
+        const InstanceId dead = homePeer.instance;
+        constexpr std::uint16_t streams = 50;
+        for (std::uint16_t id = 0; id < streams; ++id) {
+            ObservationRecord record;
+            record.id = { dead, Epoch { 1 }, id + 1U };
+            record.key = { service, { 1, id }, 7, { 5 } };
+            record.bucket = bucket;
+            record.message.code = coap::get;
+            record.message.addUint(coap::observe, 0);
+            record.candidates = { UpstreamId { 1 } };
+            record.observeSequence = 40;
+            (void)this->handle(ObservationRecordReceived { dead, record });
+        }
+        (void)this->handle(OwnershipTaken { service, { bucket }, {} });
+        EXPECT_TRUE(collect<RequestEnded>(this->handle(PeerLost { homePeer })).empty());
+        const auto moved = this->handle(HomeChanged { UpstreamId { 1 }, PeerRef { InstanceId { 3 }, Epoch { 1 } } });
+        EXPECT_TRUE(collect<RequestEnded>(moved).empty());
+        std::size_t registered = 0;
+        for (const auto& action : collect<SendToPeer>(moved))
+            registered += std::holds_alternative<DispatchRequest>(action.message) ? 1 : 0;
+        EXPECT_EQ(registered, streams);
+    }
+
+    // Guards against a stream that a deputy starts although it has ended, or its owner lives.
+    TEST_F(MovedObservationTest, DeputyLeavesEndedAndLivingObservationsAlone)
+    {
+        (void)this->offered(false);
+        EXPECT_EQ(dispatched(this->handle(OwnershipTaken { service, { bucket }, {} })).attempt, 0U);
+        (void)this->offered(false, true);
+        EXPECT_EQ(dispatched(this->handle(PeerLost { { otherOwner, Epoch { 1 } } })).attempt, 0U);
+    }
+
+    // Guards against a planned change that silences streams, and against one that is lost with a datagram.
+    TEST_F(MovedObservationTest, OwnerHandsObservationsOverAndForwardsUntilTheyAreTaken)
+    {
+        (void)this->take();
+        (void)this->handle(DeputiesChanged { service, { { bucket, InstanceId { 8 } } } });
+        const auto request = dispatched(this->place(7, coap::get, true));
+        const auto kept = observations(this->result(request, ResultKind::Answered, 10));
+        ASSERT_EQ(kept.size(), 0U) << "the placed request named no deputy";
+        (void)this->handle(DeputiesChanged { service, { { bucket, InstanceId { 8 } } } });
+        ASSERT_EQ(observations(this->handle(OwnerTick {})).size(), 1U);
+        const auto handed
+            = observations(this->handle(OwnershipLost { service, { bucket }, { { bucket, otherOwner } } }));
+        ASSERT_EQ(handed.size(), 1U);
+        EXPECT_TRUE(handed.front().handedOver);
+        EXPECT_FALSE(this->owner.isIdle()) << "a stop waits for the handover";
+        this->now += Milliseconds { 200 };
+        EXPECT_EQ(observations(this->handle(OwnerTick {})).size(), 1U) << "sent again until it is acknowledged";
+        EXPECT_EQ(collect<SendToCaller>(this->result(request, ResultKind::Notification, 11)).size(), 1U);
+        const OwnerActions taken
+            = this->handle(ObservationRecordAckReceived { otherOwner, { handed.front().id, true } });
+        EXPECT_TRUE(collect<SendToCaller>(taken).empty());
+        EXPECT_TRUE(this->owner.isIdle());
+        EXPECT_TRUE(collect<SendToCaller>(this->result(request, ResultKind::Notification, 12)).empty());
+    }
+
+    // Guards against two streams to one caller when a handover is repeated, or arrives before the change is known.
+    TEST_F(MovedObservationTest, NewOwnerTakesAnObservationOnce)
+    {
+        EXPECT_FALSE(isAcknowledged(this->offered(true))) << "this entry does not own the bucket yet";
+        (void)this->take();
+        const OwnerActions first = this->offered(true);
+        EXPECT_TRUE(isAcknowledged(first));
+        EXPECT_EQ(dispatched(first).upstream, UpstreamId { 2 });
+        const OwnerActions again = this->offered(true);
+        EXPECT_TRUE(isAcknowledged(again));
+        EXPECT_EQ(dispatched(again).attempt, 0U);
+    }
+
 } // namespace
 } // namespace zinnia::request
--- a/test/zinnia/request/world.cpp
+++ b/test/zinnia/request/world.cpp
@@ -152,6 +152,12 @@
                    [&](const RecordRequestAck& ack) {
                        this->owner(to, RecordAckReceived { sender, ack });
                    },
+                   [&](const ObservationRecord& record) {
+                       this->owner(to, ObservationRecordReceived { sender, record });
+                   },
+                   [&](const ObservationRecordAck& ack) {
+                       this->owner(to, ObservationRecordAckReceived { sender, ack });
+                   },
                    [&](const DispatchRequest& request) {
                        this->home(to, DispatchReceived { sender, request });
                    },
@@ -307,16 +313,23 @@
     for (const std::size_t peer : view)
         owners.owners.push_back(this->nodes[peer].self);
     this->home(node, owners);
-    OwnershipTaken taken { service, {} };
+    OwnershipTaken taken { service, {}, {} };
     std::set<std::uint32_t> mine;
     for (std::uint32_t bucket = 0; bucket < buckets; ++bucket) {
         if (this->ranked(bucket, view).front() != node)
             continue;
         mine.insert(bucket);
-        if (!entry.buckets.contains(bucket) || view.size() == entries)
-            taken.buckets.push_back(BucketIndex { static_cast<std::uint16_t>(bucket) });
+        if (entry.buckets.contains(bucket) && view.size() != entries)
+            continue;
+        const BucketIndex index { static_cast<std::uint16_t>(bucket) };
+        taken.buckets.push_back(index);
+        auto others = view;
+        others.erase(node);
+        // Only an entry that rejoins takes buckets over from one that still runs.
+        if (view.size() == entries)
+            taken.previousOwners.emplace(index, this->nodes[this->ranked(bucket, others).front()].self.instance);
     }
-    OwnershipLost lost { service, {} };
+    OwnershipLost lost { service, {}, {} };
     for (const std::uint32_t bucket : entry.buckets) {
         if (!mine.contains(bucket))
             lost.buckets.push_back(BucketIndex { static_cast<std::uint16_t>(bucket) });
