fleet: start although the disk fails

Cause: a storage error at the start, such as a full disk, ended the process, while the same error later only takes the instance out of the log until its folder can be opened again. Damage without other instances still ends the process, because it has the only copy. Test: FleetProcessTest.StartsWithAFailingDiskAndTakesPartOnceItRecovers fails before the change.

--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -65,8 +65,13 @@
         return FleetError::Folder;
     this->files = std::move(folder.value());
     this->recall();
-    if (const auto error = this->startReplica())
-        return error;
+    if (const auto error = this->startReplica()) {
+        if (*error != FleetError::Storage)
+            return error;
+        // A full or failing disk may recover. Until then this instance takes no part in the log, but tells routers
+        // and upstreams what it hears from the others.
+        this->restartDue = this->loop->now() + storageRetry;
+    }
 
     auto server
         = StreamServer::create(*this->loop, { this->settings.member.address, this->settings.member.ports.stream },
@@ -133,9 +138,9 @@
         if (error.cause != ReplicaDriverError::Cause::Storage)
             return FleetError::Replica;
         runtime::log(Event::StorageFailed, Field { "cause", error.storage });
-        if (isDamage(error.storage) && this->abandonFolder(error.storage))
-            return this->startReplica();
-        return FleetError::Replica;
+        if (!isDamage(error.storage))
+            return FleetError::Storage;
+        return this->abandonFolder(error.storage) ? this->startReplica() : FleetError::Replica;
     }
     this->replica = std::move(created.value());
     return std::nullopt;
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -19,11 +19,20 @@
 namespace zinnia::runtime {
 
 /** @brief Why a control instance of a fleet could not be started. */
-enum class FleetError : unsigned char { Folder, Replica, FeedAddress, StreamAddress, HttpAddress, MetricsAddress };
+enum class FleetError : unsigned char {
+    Folder,
+    Replica,
+    Storage,
+    FeedAddress,
+    StreamAddress,
+    HttpAddress,
+    MetricsAddress
+};
 
-inline constexpr NameTable<FleetError, 6> fleetErrorNames { {
+inline constexpr NameTable<FleetError, 7> fleetErrorNames { {
     { FleetError::Folder, "folder" },
     { FleetError::Replica, "replica" },
+    { FleetError::Storage, "storage" },
     { FleetError::FeedAddress, "feed_address" },
     { FleetError::StreamAddress, "stream_address" },
     { FleetError::HttpAddress, "http_address" },
@@ -72,6 +81,7 @@
     FleetProcess(const FleetSettings& settings, Epoch epoch, EventLoop& loop);
 
     [[nodiscard]] std::optional<FleetError> start(const HttpApi& api);
+    /** @return `Storage` if a file could not be read or written, which may work later, or `Replica`. */
     [[nodiscard]] std::optional<FleetError> startReplica();
     /**
      * @brief Gives up a damaged folder: the others have the log, and a learner under a new identity gets it from them.
