routing: check the address of an upstream that leaves a request unanswered, and share what is found

Callers of idle flows found out one by one, which non-idempotent requests do not survive.

Change: the first repeat without an answer asks for a check of the upstream's address (a TCP connection without a request, 80 to 400 ms). A failed one shows a dead upstream: its flows are reset and it is avoided until a connection succeeds. Routers tell the control instances what they could not reach; the other routers look for themselves. Each opening is logged as FlowOpened, with the load that decided.

Ruled out: lower thresholds for the passive signs (a lost packet looks the same), and resets on another router's word (it may be the one that is cut off).

--- a/src/zinnia/feed/feed_client.cpp
+++ b/src/zinnia/feed/feed_client.cpp
@@ -62,10 +62,18 @@
     return requests;
 }
 
+std::vector<OutgoingRequest> FeedClient::askAll(std::uint64_t revision, TimePoint now)
+{
+    std::vector<OutgoingRequest> requests;
+    for (const InstanceId id : this->chosen(now))
+        requests.push_back(this->ask(id, this->controls[id], revision, now));
+    return requests;
+}
+
 OutgoingRequest FeedClient::ask(InstanceId id, Control& control, std::uint64_t revision, TimePoint now)
 {
     control.askedAt = now;
-    return OutgoingRequest { id, FeedRequest { this->nextNumber++, revision, control.board, control.change } };
+    return OutgoingRequest { id, FeedRequest { this->nextNumber++, revision, control.board, control.change, {} } };
 }
 
 std::optional<OutgoingRequest> FeedClient::receive(
--- a/src/zinnia/feed/feed_client.hpp
+++ b/src/zinnia/feed/feed_client.hpp
@@ -54,6 +54,9 @@
     /** @return The requests that are due. */
     [[nodiscard]] std::vector<OutgoingRequest> tick(std::uint64_t revision, TimePoint now);
 
+    /** @return A request to each of the asked control instances, for news that should not wait for the next turn. */
+    [[nodiscard]] std::vector<OutgoingRequest> askAll(std::uint64_t revision, TimePoint now);
+
     /**
      * @brief Takes a reply into account.
      * @return A request for the rest, if the reply did not cover every change.
--- a/src/zinnia/feed/messages.hpp
+++ b/src/zinnia/feed/messages.hpp
@@ -3,6 +3,7 @@
 #include "zinnia/config/route_table.hpp"
 #include "zinnia/core/ids.hpp"
 #include "zinnia/upstream/announcement_board.hpp"
+#include "zinnia/upstream/suspicion_board.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -21,10 +22,12 @@
     Epoch board;
     /** Last change of that instance's board that the router has. */
     std::uint64_t change {};
+    /** Upstreams that the router has lately failed to reach itself. */
+    std::vector<upstream::AgedSuspicion> suspicions {};
 
     template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
     {
-        visit(self.number, self.revision, self.board, self.change);
+        visit(self.number, self.revision, self.board, self.change, self.suspicions);
     }
 };
 
@@ -77,11 +80,13 @@
     std::vector<upstream::AgedAnnouncement> announcements;
     /** Control instances that it has heard from lately, itself included. */
     std::vector<InstanceId> controls;
+    /** Upstreams that some router has lately failed to reach. */
+    std::vector<upstream::AgedSuspicion> suspicions;
 
     template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
     {
         visit(self.number, self.confirmed, self.revision, self.state, self.board, self.change, self.lastChange,
-            self.announcements, self.controls);
+            self.announcements, self.controls, self.suspicions);
     }
 };
 
@@ -104,10 +109,11 @@
     Epoch epoch;
     std::vector<InstanceId> controls;
     std::vector<upstream::AgedAnnouncement> announcements;
+    std::vector<upstream::AgedSuspicion> suspicions {};
 
     template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
     {
-        visit(self.number, self.epoch, self.controls, self.announcements);
+        visit(self.number, self.epoch, self.controls, self.announcements, self.suspicions);
     }
 };
 
--- a/src/zinnia/routing/flow_router.cpp
+++ b/src/zinnia/routing/flow_router.cpp
@@ -155,13 +155,22 @@
         return { PacketAction::Reset, RoutingReason::UpstreamGone, upstream };
     if (known == this->flows.end())
         return { PacketAction::Forward, RoutingReason::None, upstream };
+    if (upstream->unreachableAt && packet.dataBytes > 0 && !packet.aborts) {
+        // A flow that came here from another router after this one had found its upstream unreachable.
+        if (now - *upstream->unreachableAt < this->settings.checkValidity) {
+            this->end(known->second);
+            this->flows.erase(known);
+            return { PacketAction::Reset, RoutingReason::UpstreamDead, upstream };
+        }
+        this->requestCheck(*upstream, this->settings.checkInterval, now);
+    }
     RoutingDecision decision { PacketAction::Forward, RoutingReason::None, upstream };
     this->observe(known->second, *upstream, packet, decision, now);
     if (this->isDead(known->second, *upstream, packet)) {
         this->end(known->second);
         this->flows.erase(known);
         upstream->unansweredSince = upstream->unansweredSince.value_or(now);
-        this->resetFlowsOf(*upstream, now);
+        this->resetFlowsOf(*upstream, SuspicionCause::StalledFlows, now);
         return { PacketAction::Reset, RoutingReason::UpstreamDead, upstream };
     }
     return decision;
@@ -221,19 +230,21 @@
         }
     } else if (packet.sequence == flow.sequence && now - flow.sentAt >= this->settings.shortestRepeat) {
         ++flow.repeats;
-        if (upstream.answeredAt < flow.sentAt && !std::exchange(flow.stalled, true))
+        if (upstream.answeredAt >= flow.sentAt)
+            return;
+        if (!std::exchange(flow.stalled, true))
             ++upstream.stalledFlows;
+        this->requestCheck(upstream, this->settings.checkInterval, now);
     }
 }
 
 void FlowRouter::answered(Flow& flow, Upstream& upstream, TimePoint now)
 {
     upstream.answeredAt = now;
-    upstream.unansweredSince.reset();
-    upstream.unanswered.clear();
-    upstream.failedTries = 0;
-    if (std::exchange(upstream.dead, false))
-        this->notes.push_back({ upstream.announced.number, false, 0, {} });
+    const bool wasDead = upstream.dead;
+    upstream.forgive();
+    if (wasDead)
+        this->notes.push_back({ upstream.announced.number, SuspicionCause::None, 0, {} });
     flow.repeats = 0;
     if (std::exchange(flow.waiting, false))
         decrement(upstream.requests);
@@ -269,7 +280,7 @@
     return upstream.stalledFlows >= this->settings.stalledFlows || flow.repeats >= this->settings.repeats;
 }
 
-void FlowRouter::resetFlowsOf(Upstream& upstream, TimePoint now)
+void FlowRouter::resetFlowsOf(Upstream& upstream, SuspicionCause cause, TimePoint now)
 {
     upstream.dead = true;
     const std::size_t before = this->resets.size();
@@ -283,7 +294,7 @@
         this->end(flow->second);
         flow = this->flows.erase(flow);
     }
-    this->notes.push_back({ upstream.announced.number, true, this->resets.size() - before,
+    this->notes.push_back({ upstream.announced.number, cause, this->resets.size() - before,
         upstream.answeredAt == TimePoint {} ? std::nullopt : std::optional { now - upstream.answeredAt } });
 }
 
--- a/src/zinnia/routing/flow_router.hpp
+++ b/src/zinnia/routing/flow_router.hpp
@@ -56,6 +56,21 @@
      * closer together were held up on their way, or here.
      */
     Milliseconds shortestRepeat { 120 };
+    /**
+     * Shortest time between two checks of an address. While only openings ask for them it doubles with each check that
+     * fails, three times at most.
+     */
+    Milliseconds checkInterval { 500 };
+    /** How long a failed check stands for an open flow; an upstream may have come back since, with its flows. */
+    Milliseconds checkValidity { 1000 };
+    /**
+     * Time for the connection of a check: several times the usual handshake, which grows with queues on the way, and
+     * so short that the caller's next try can still be answered in time.
+     */
+    Milliseconds shortestCheck { 80 };
+    Milliseconds longestCheck { 400 };
+    /** Unit: usual times of a handshake. */
+    std::int64_t checkFactor = 8;
     /** A zone that was put back takes new flows after this time, when announcements tell whether it is cold. */
     Milliseconds returnDelay { 2000 };
 };
@@ -128,16 +143,41 @@
     std::optional<Microseconds> answer {};
 };
 
+/** @brief What shows that an upstream is dead. */
+enum class SuspicionCause : std::uint8_t { None, StalledFlows, UnansweredOpenings, Unreachable };
+
+inline constexpr NameTable<SuspicionCause, 4> suspicionCauseNames { {
+    { SuspicionCause::None, "none" },
+    { SuspicionCause::StalledFlows, "stalled_flows" },
+    { SuspicionCause::UnansweredOpenings, "unanswered_openings" },
+    { SuspicionCause::Unreachable, "unreachable" },
+} };
+static_assert(isDense(suspicionCauseNames));
+
+[[nodiscard]] constexpr std::string_view nameOf(SuspicionCause cause) noexcept
+{
+    return nameIn(suspicionCauseNames, cause);
+}
+
 /** @brief An upstream was found to be dead, or has answered after that. */
 struct UpstreamNote {
     upstream::UpstreamNumber upstream;
-    bool dead {};
+    /** `None` if it answers again. */
+    SuspicionCause cause {};
     /** Flows reset with it. */
     std::size_t flows {};
     /** Time since its last answer to this router, if it has ever answered. */
     std::optional<Microseconds> silence {};
 };
 
+/** @brief An address to which a connection is to be opened, and closed at once, to see whether anybody listens. */
+struct AddressCheck {
+    RoutingToken token;
+    Endpoint address;
+    /** Time after which it has failed. */
+    Milliseconds timeout {};
+};
+
 /**
  * @brief Decides where the packets of flows go.
  *
@@ -162,6 +202,14 @@
      * between a new flow and an unknown outcome.
      */
     [[nodiscard]] std::vector<FlowReset> takeResets() { return std::exchange(this->resets, {}); }
+    /** @brief Takes the addresses to be checked since the last call, as first signs of a dead upstream were seen. */
+    [[nodiscard]] std::vector<AddressCheck> takeChecks() { return std::exchange(this->checks, {}); }
+    /** @brief Another router has failed to reach an upstream: this one looks for itself before a caller finds out. */
+    void suspect(const upstream::AgedSuspicion& suspicion, TimePoint now);
+    /** @brief Takes the upstreams that this router has found to be unreachable since the last call. */
+    [[nodiscard]] std::vector<upstream::UpstreamNumber> takeFindings() { return std::exchange(this->findings, {}); }
+    /** @brief Takes the result of a check. A connection proves nothing: a process may listen and not work. */
+    void checked(RoutingToken token, bool connected, TimePoint now);
     /** @brief Takes what was concluded about upstreams since the last call, for the log. */
     [[nodiscard]] std::vector<UpstreamNote> takeNotes() { return std::exchange(this->notes, {}); }
     /** @brief Forgets which upstreams left openings unanswered: this process stood still and has seen no answers. */
@@ -216,7 +264,8 @@
     void end(Flow& flow);
     [[nodiscard]] bool isDead(const Flow& flow, const Upstream& upstream, const FlowPacket& packet) const;
     [[nodiscard]] bool isDeadToOpenings(const Upstream& upstream, TimePoint now) const;
-    void resetFlowsOf(Upstream& upstream, TimePoint now);
+    void resetFlowsOf(Upstream& upstream, SuspicionCause cause, TimePoint now);
+    void requestCheck(Upstream& upstream, Milliseconds interval, TimePoint now);
     void noteOpening(Upstream& upstream, const Endpoint& caller, TimePoint now);
     void noteHandshake(Microseconds duration);
     [[nodiscard]] Microseconds handshakeTimeout() const;
@@ -233,6 +282,8 @@
     feed::RoutingState current;
     bool complete {};
     std::vector<FlowReset> resets;
+    std::vector<AddressCheck> checks;
+    std::vector<upstream::UpstreamNumber> findings;
     std::vector<UpstreamNote> notes;
     /** Running mean of the time from an opening to the end of its handshake. */
     Microseconds usualHandshake {};
--- a/src/zinnia/routing/flow_router_choice.cpp
+++ b/src/zinnia/routing/flow_router_choice.cpp
@@ -1,6 +1,7 @@
 #include "zinnia/routing/flow_router.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinnia::routing {
 
@@ -39,8 +40,56 @@
         this->settings.shortestHandshake, this->settings.longestHandshake);
 }
 
+void FlowRouter::requestCheck(Upstream& upstream, Milliseconds interval, TimePoint now)
+{
+    // Of a silent one the control instances hear nothing either; it is announced again when it returns.
+    if (upstream.announced.state == AnnouncedState::Gone || upstream.announced.state == AnnouncedState::Silent)
+        return;
+    if (upstream.checkedAt && now - *upstream.checkedAt < interval)
+        return;
+    upstream.checkedAt = now;
+    const auto usual = std::chrono::duration_cast<Milliseconds>(this->settings.checkFactor * this->usualHandshake);
+    this->checks.push_back({ upstream.token, upstream.announced.address,
+        std::clamp(usual, this->settings.shortestCheck, this->settings.longestCheck) });
+}
+
+void FlowRouter::suspect(const upstream::AgedSuspicion& suspicion, TimePoint now)
+{
+    Upstream* upstream = this->upstreams.find(tokenOf(suspicion.upstream));
+    const TimePoint at = now - suspicion.age;
+    // The same suspicion comes with each reply, its age rounded to milliseconds.
+    if (upstream == nullptr || at - upstream->suspectedAt < this->settings.checkInterval)
+        return;
+    upstream->suspectedAt = at;
+    if (!upstream->unreachableAt && upstream->answeredAt < at)
+        this->requestCheck(*upstream, this->settings.checkInterval, now);
+}
+
+void FlowRouter::checked(RoutingToken token, bool connected, TimePoint now)
+{
+    Upstream* upstream = this->upstreams.find(token);
+    // Without a time it was announced as restarted, or has answered, since the check began.
+    if (upstream == nullptr || !upstream->checkedAt)
+        return;
+    if (connected) {
+        if (!upstream->unreachableAt)
+            return;
+        upstream->forgive();
+        this->notes.push_back({ upstream->announced.number, SuspicionCause::None, 0, {} });
+        return;
+    }
+    ++upstream->failedChecks;
+    upstream->unansweredSince = upstream->unansweredSince.value_or(now);
+    upstream->unreachableAt = now;
+    this->findings.push_back(upstream->announced.number);
+    if (!upstream->dead)
+        this->resetFlowsOf(*upstream, SuspicionCause::Unreachable, now);
+}
+
 bool FlowRouter::isAvoided(const Upstream& upstream, TimePoint now) const
 {
+    if (upstream.unreachableAt)
+        return true;
     if (!upstream.unansweredSince)
         return false;
     const Microseconds since = now - *upstream.unansweredSince;
@@ -91,8 +140,12 @@
         const bool isTried
             = previous != nullptr && (previous->token == upstream->token || previous->tried[0] == upstream->token);
         if (!upstream->dead && this->isDeadToOpenings(*upstream, now))
-            this->resetFlowsOf(*upstream, now);
-        if (isTried || this->isAvoided(*upstream, now) || upstream->announced.state == AnnouncedState::Silent)
+            this->resetFlowsOf(*upstream, SuspicionCause::UnansweredOpenings, now);
+        const bool isAvoided = this->isAvoided(*upstream, now);
+        if (isAvoided)
+            this->requestCheck(*upstream,
+                this->settings.checkInterval * (1U << std::min<std::uint32_t>(upstream->failedChecks, 3)), now);
+        if (isTried || isAvoided || upstream->announced.state == AnnouncedState::Silent)
             avoided.push_back(upstream);
         else if (upstream->announced.zone == this->settings.zone)
             own.push_back(upstream);
--- a/src/zinnia/routing/upstream_directory.cpp
+++ b/src/zinnia/routing/upstream_directory.cpp
@@ -11,6 +11,17 @@
 
 } // namespace
 
+void Upstream::forgive()
+{
+    this->unansweredSince.reset();
+    this->unanswered.clear();
+    this->failedTries = 0;
+    this->checkedAt.reset();
+    this->failedChecks = 0;
+    this->unreachableAt.reset();
+    this->dead = false;
+}
+
 RoutingToken tokenOf(upstream::UpstreamNumber number) noexcept
 {
     // Numbers of up to 32 bits are their own token, so that two upstreams never share one.
@@ -59,11 +70,8 @@
 
 void UpstreamDirectory::forgiveAll()
 {
-    for (auto& [token, upstream] : this->upstreams) {
-        upstream.unansweredSince.reset();
-        upstream.unanswered.clear();
-        upstream.failedTries = 0;
-    }
+    for (auto& [token, upstream] : this->upstreams)
+        upstream.forgive();
 }
 
 Upstream* UpstreamDirectory::find(RoutingToken token)
--- a/src/zinnia/routing/upstream_directory.hpp
+++ b/src/zinnia/routing/upstream_directory.hpp
@@ -45,6 +45,17 @@
     std::uint32_t failedTries {};
     /** Its flows were reset, as it answers nobody. */
     bool dead {};
+    /** When a check of its address was last asked for. */
+    std::optional<TimePoint> checkedAt;
+    /** When some other router last failed to reach it, as far as this one was told. */
+    TimePoint suspectedAt;
+    /** Checks in a row without a connection. */
+    std::uint32_t failedChecks {};
+    /** When the last check found no connection; it gets no flow until there is one. */
+    std::optional<TimePoint> unreachableAt;
+
+    /** @brief Forgets everything that speaks against it. */
+    void forgive();
 };
 
 /** @return The token of an upstream; never 0. */
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -12,6 +12,7 @@
 #include "zinnia/runtime/replica_driver.hpp"
 #include "zinnia/runtime/stream_server.hpp"
 #include "zinnia/upstream/announcement_board.hpp"
+#include "zinnia/upstream/suspicion_board.hpp"
 
 #include <map>
 #include <memory>
@@ -128,6 +129,7 @@
     std::unique_ptr<HttpListener> metricsServer;
     feed::ControlRoster roster;
     upstream::AnnouncementBoard board;
+    upstream::SuspicionBoard suspicions;
     std::uint64_t nextShare = 1;
     std::map<std::uint64_t, PendingShare> shares;
     /** The last drain or departure of an upstream that a second instance has confirmed. */
--- a/src/zinnia/runtime/fleet_process_news.cpp
+++ b/src/zinnia/runtime/fleet_process_news.cpp
@@ -69,7 +69,7 @@
         = this->loop->schedule(shareTimeout, [this, ticket] { this->finishShare(ticket, CallStatus::Unavailable); });
     this->shares.emplace(ticket, PendingShare { number, std::move(done), timer });
     const feed::Gossip message { ticket, this->epoch, this->roster.live(this->loop->now()),
-        { { *current, Milliseconds { 0 } } } };
+        { { *current, Milliseconds { 0 } } }, {} };
     for (const auto& peer : peers)
         this->link->send(peer, wire::MessageKind::Gossip, message);
 }
@@ -111,12 +111,14 @@
     const bool learned = this->roster.learn(message.controls, now);
     for (const auto& [announcement, age] : message.announcements)
         this->observe(announcement, age, "gossip");
+    for (const auto& suspicion : message.suspicions)
+        (void)this->suspicions.report(suspicion, now);
     if (message.number != 0)
         this->link->reply(source, wire::MessageKind::GossipAck, feed::GossipAck { message.number });
     if (change != feed::RosterChange::Known) {
         runtime::log(Event::PeerAlive, Field { "instance", sender });
         this->link->send(sender, wire::MessageKind::Gossip,
-            feed::Gossip { 0, this->epoch, this->roster.live(now), this->board.all(now) });
+            feed::Gossip { 0, this->epoch, this->roster.live(now), this->board.all(now), {} });
     }
     if (learned || change == feed::RosterChange::Appeared)
         this->setPeers();
@@ -127,9 +129,14 @@
     this->finishShare(message.number, CallStatus::Done);
 }
 
-void FleetProcess::receive(InstanceId, const feed::FeedRequest& message, const Endpoint& source)
+void FleetProcess::receive(InstanceId sender, const feed::FeedRequest& message, const Endpoint& source)
 {
     const TimePoint now = this->loop->now();
+    for (const auto& suspicion : message.suspicions) {
+        if (this->suspicions.report(suspicion, now))
+            runtime::log(Event::SuspicionReported, Field { "upstream", suspicion.upstream }, Field { "router", sender },
+                Field { "age_ms", suspicion.age });
+    }
     feed::FeedReply reply;
     reply.number = message.number;
     reply.confirmed = this->hasLeader();
@@ -141,6 +148,7 @@
     reply.announcements = this->board.changedSince(since, announcementsPerReply, reply.change, now);
     reply.lastChange = this->board.lastChange();
     reply.controls = this->roster.live(now);
+    reply.suspicions = this->suspicions.current(now);
     this->link->reply(source, wire::MessageKind::FeedReply, reply);
 }
 
@@ -185,7 +193,8 @@
 {
     this->loop->schedule(gossipInterval, [this] { this->gossip(); });
     const TimePoint now = this->loop->now();
-    const feed::Gossip message { 0, this->epoch, this->roster.live(now), this->board.takeFresh(now) };
+    const feed::Gossip message { 0, this->epoch, this->roster.live(now), this->board.takeFresh(now),
+        this->suspicions.current(now) };
     for (const auto& peer : this->roster.peers())
         this->link->send(peer, wire::MessageKind::Gossip, message);
 }
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -10,6 +10,8 @@
     /** The same until routes and upstreams are known. */
     constexpr Milliseconds firstFeedTick { 50 };
     constexpr Milliseconds expiryInterval { 1000 };
+    /** Checks of many upstreams that died together end within about this time. */
+    constexpr Milliseconds reportDelay { 10 };
     /** Packets that wait for the first routes; about 2 MB at most. */
     constexpr std::size_t heldPackets = 1500;
     /** Callers repeat a packet after 200 ms and give a request up soon after. */
@@ -19,6 +21,9 @@
     /** Batches read in one turn, so that timers and calls are not kept waiting under load. */
     constexpr int batchesEachTurn = 4;
 
+    enum CheckResult : std::size_t { checkConnected, checkFailed, checkNotStarted };
+    const std::array<std::string, 3> checkResultNames { "connected", "failed", "not_started" };
+
     routing::FlowRouterSettings routerSettingsOf(const RouterSettings& settings, Epoch epoch)
     {
         routing::FlowRouterSettings router;
@@ -52,6 +57,7 @@
     , sealer { settings.cluster.key, settings.cluster.id, settings.instance, epoch }
     , router { routerSettingsOf(settings, epoch) }
     , feed { feedSettingsOf(settings), settings.member.seedIds() }
+    , connections { loop }
 {
     for (const auto& row : routing::packetActionNames)
         this->actionCounters[static_cast<std::size_t>(row.value)]
@@ -64,6 +70,9 @@
     this->handshakes = &this->metrics.latency({ "zinnia_router_handshake_seconds" });
     this->answers = &this->metrics.latency({ "zinnia_router_answer_seconds" });
     this->openings = &this->metrics.counter({ "zinnia_router_openings_total" });
+    for (std::size_t i = 0; i < checkResultNames.size(); ++i)
+        this->checkResults[i]
+            = &this->metrics.counter({ "zinnia_router_address_checks_total", "result", checkResultNames[i] });
 }
 
 RouterProcess::~RouterProcess()
@@ -172,10 +181,55 @@
             this->held.push_back({ Bytes { bytes.begin(), bytes.end() }, since });
         return;
     }
-    if (decision.reason != routing::RoutingReason::None)
+    if (decision.reason != routing::RoutingReason::None || packet->opens)
         this->report(*packet, decision);
     this->observe(bytes, *packet, decision);
     this->sendResets();
+    this->startChecks();
+    this->logNotes();
+}
+
+void RouterProcess::startChecks()
+{
+    for (const routing::AddressCheck& check : this->router.takeChecks()) {
+        const bool started = this->connections.check(check.address, check.timeout,
+            [this, token = check.token](bool connected) { this->finishCheck(token, connected); });
+        if (!started)
+            this->checkResults[checkNotStarted]->add();
+    }
+}
+
+void RouterProcess::reportFindings()
+{
+    const auto findings = this->router.takeFindings();
+    if (findings.empty())
+        return;
+    const TimePoint now = this->loop->now();
+    for (const auto upstream : findings)
+        (void)this->suspicions.report({ upstream, Milliseconds { 0 } }, now);
+    // One report for all checks that end at about the same time.
+    if (!std::exchange(this->reportScheduled, true))
+        this->loop->schedule(reportDelay, [this] {
+            this->reportScheduled = false;
+            this->ask(this->feed.askAll(this->router.state().revision, this->loop->now()));
+        });
+}
+
+void RouterProcess::ask(std::vector<feed::OutgoingRequest> requests)
+{
+    for (auto& request : requests) {
+        request.request.suspicions = this->suspicions.current(this->loop->now());
+        this->link->send(request.control, wire::MessageKind::FeedRequest, request.request);
+    }
+}
+
+void RouterProcess::finishCheck(routing::RoutingToken token, bool connected)
+{
+    this->checkResults[connected ? checkConnected : checkFailed]->add();
+    this->router.checked(token, connected, this->loop->now());
+    this->reportFindings();
+    this->sendResets();
+    this->sender.flush();
     this->logNotes();
 }
 
@@ -196,9 +250,9 @@
 void RouterProcess::logNotes()
 {
     for (const auto& note : this->router.takeNotes()) {
-        if (note.dead)
-            log(Event::UpstreamSuspected, Field { "upstream", note.upstream }, Field { "flows_reset", note.flows },
-                Field { "silent_us", note.silence.value_or(Microseconds { -1 }) });
+        if (note.cause != routing::SuspicionCause::None)
+            log(Event::UpstreamSuspected, Field { "upstream", note.upstream }, Field { "cause", note.cause },
+                Field { "flows_reset", note.flows }, Field { "silent_us", note.silence.value_or(Microseconds { -1 }) });
         else
             log(Event::UpstreamAnswersAgain, Field { "upstream", note.upstream });
     }
@@ -209,6 +263,8 @@
     Event event = Event::FlowReset;
     if (decision.reason == routing::RoutingReason::CopyMoved)
         event = Event::OpeningMoved;
+    else if (decision.action == routing::PacketAction::Forward)
+        event = Event::FlowOpened;
     else if (decision.action == routing::PacketAction::Drop)
         event = Event::TokenUnknown;
     else if (packet.opens)
@@ -216,6 +272,8 @@
     const auto number = decision.upstream != nullptr ? decision.upstream->announced.number.value : 0;
     log(event, Field { "caller", packet.caller }, Field { "service", packet.service },
         Field { "reason", decision.reason }, Field { "token", packet.token }, Field { "upstream", number },
+        Field { "flows", decision.upstream != nullptr ? decision.upstream->flows : 0 },
+        Field { "requests", decision.upstream != nullptr ? decision.upstream->requests : 0 },
         Field { "revision", this->router.state().revision });
 }
 
@@ -236,7 +294,10 @@
             Field { "withdrawn_zones", news.state->withdrawnZones.size() }, Field { "control", message.sender });
     this->router.merge(news.announcements, now);
     if (const auto more = this->feed.receive(message.sender, news, this->router.state().revision, now))
-        this->link->send(more->control, wire::MessageKind::FeedRequest, more->request);
+        this->ask({ *more });
+    for (const auto& suspicion : news.suspicions)
+        this->router.suspect(suspicion, now);
+    this->startChecks();
     // A whole board is enough to send packets on; that a leader has confirmed it matters for readiness only.
     if (news.change >= news.lastChange && this->router.state().revision > 0)
         this->router.setComplete();
@@ -258,8 +319,7 @@
         log(Event::RouterPaused, Field { "pause_us", now - this->lastTick });
     }
     this->lastTick = now;
-    for (const auto& request : this->feed.tick(this->router.state().revision, now))
-        this->link->send(request.control, wire::MessageKind::FeedRequest, request.request);
+    this->ask(this->feed.tick(this->router.state().revision, now));
     const bool touched = this->feed.isInTouch(now);
     if (touched != std::exchange(this->inTouch, touched))
         log(touched ? Event::ControlRegained : Event::ControlLost, Field { "controls", this->feed.knownControls() });
--- a/src/zinnia/runtime/router_process.hpp
+++ b/src/zinnia/runtime/router_process.hpp
@@ -2,6 +2,7 @@
 
 #include "zinnia/feed/feed_client.hpp"
 #include "zinnia/routing/flow_router.hpp"
+#include "zinnia/runtime/connection_check.hpp"
 #include "zinnia/runtime/datagram_batch.hpp"
 #include "zinnia/runtime/event_loop.hpp"
 #include "zinnia/runtime/fleet_link.hpp"
@@ -57,6 +58,10 @@
     void handleHeld();
     void sendResets();
     void logNotes();
+    void startChecks();
+    void reportFindings();
+    void ask(std::vector<feed::OutgoingRequest> requests);
+    void finishCheck(routing::RoutingToken token, bool connected);
     void observe(BytesView bytes, const routing::FlowPacket& packet, const routing::RoutingDecision& decision);
     void report(const routing::FlowPacket& packet, const routing::RoutingDecision& decision);
     void receiveFeed(const wire::OpenedMessage& message);
@@ -73,6 +78,10 @@
     feed::FeedClient feed;
     std::unique_ptr<UdpSocket> packets;
     std::vector<HeldPacket> held;
+    ConnectionCheck connections;
+    /** Upstreams that this router has found to be unreachable itself. */
+    upstream::SuspicionBoard suspicions;
+    bool reportScheduled {};
     DatagramReceiver receiver;
     DatagramSender sender;
     std::unique_ptr<FleetLink> link;
@@ -80,6 +89,7 @@
     std::unique_ptr<HttpListener> metricsServer;
     std::array<Counter*, routing::packetActionNames.size()> actionCounters {};
     std::array<Counter*, routing::routingReasonNames.size()> reasonCounters {};
+    std::array<Counter*, 3> checkResults {};
     Counter* malformed {};
     Counter* openings {};
     LatencyHistogram* handshakes {};
--- a/test/zinnia/feed/feed_client_test.cpp
+++ b/test/zinnia/feed/feed_client_test.cpp
@@ -142,5 +142,15 @@
         EXPECT_EQ(roster.peers(), (std::vector { two }));
     }
 
+    // Guards against urgent news that waits for the turn of each control instance, and against news to silent ones.
+    TEST(FeedClient, AsksAllSourcesAtOnceForUrgentNews)
+    {
+        FeedClient client { {}, { one, two, three, four } };
+        (void)client.tick(0, start);
+        for (const auto& id : { one, two, four })
+            (void)client.receive(id, replyOf(3, 5, 5), 3, start);
+        EXPECT_EQ(asked(client.askAll(3, start)), (std::set { one, two, four }));
+    }
+
 } // namespace
 } // namespace zinnia::feed
--- a/test/zinnia/routing/flow_router_test.cpp
+++ b/test/zinnia/routing/flow_router_test.cpp
@@ -397,5 +397,123 @@
         EXPECT_EQ(fixture.send(Fixture::openingOf(2)).action, PacketAction::Forward);
     }
 
+    /** @brief One request of the flow, and its first repetition 200 ms later. @return The decision on the second. */
+    RoutingDecision repeatRequest(Fixture& fixture, std::uint16_t port, RoutingToken token)
+    {
+        fixture.now += Milliseconds { 5 };
+        (void)fixture.send(Fixture::packetOf(port, token, 1000U * port + 1, 500, 100));
+        fixture.now += Milliseconds { 200 };
+        return fixture.send(Fixture::packetOf(port, token, 1000U * port + 1, 500, 100));
+    }
+
+    // Load: many routers with one flow each at an upstream that crashes. Guards against callers that wait for several
+    // repeats, past their deadline, because each router sees too little to conclude anything.
+    TEST(FlowRouter, OneRepeatAndAFailedCheckShowADeadUpstream)
+    {
+        Fixture fixture { { announce(1, "logger", "a"), announce(2, "logger", "b") } };
+        const RoutingToken token = fixture.open(1);
+        ASSERT_EQ(token, tokenOf(upstream::UpstreamNumber { 1 }));
+        (void)fixture.open(2);
+        EXPECT_TRUE(fixture.router.takeChecks().empty());
+        EXPECT_EQ(repeatRequest(fixture, 1, token).action, PacketAction::Forward);
+        const auto checks = fixture.router.takeChecks();
+        ASSERT_EQ(checks.size(), 1U);
+        EXPECT_EQ(checks.front().address, (Endpoint { 0x0A000001, 8080 }));
+        EXPECT_GE(checks.front().timeout, FlowRouterSettings {}.shortestCheck);
+        fixture.now += checks.front().timeout;
+        fixture.router.checked(token, false, fixture.now);
+        EXPECT_EQ(fixture.router.takeResets().size(), 2U) << "the idle flow too";
+        EXPECT_EQ(fixture.router.takeNotes().front().cause, SuspicionCause::Unreachable);
+        EXPECT_EQ(fixture.send(Fixture::openingOf(3)).upstream->announced.number, upstream::UpstreamNumber { 2 });
+        // A flow that another router had opened there.
+        EXPECT_EQ(fixture.send(Fixture::packetOf(9, token, 5, 5, 10)).action, PacketAction::Reset);
+    }
+
+    // Guards against a live upstream that loses its flows because of one lost packet.
+    TEST(FlowRouter, AConnectionOrAnAnswerEndsTheSuspicion)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        const RoutingToken token = fixture.open(1);
+        (void)repeatRequest(fixture, 1, token);
+        fixture.router.checked(token, true, fixture.now);
+        EXPECT_TRUE(fixture.router.takeResets().empty());
+        EXPECT_EQ(fixture.send(Fixture::openingOf(2)).action, PacketAction::Forward);
+        fixture.now += Milliseconds { 500 };
+        (void)fixture.send(Fixture::packetOf(1, token, 1001, 500, 100));
+        ASSERT_EQ(fixture.router.takeChecks().size(), 2U) << "asked for again";
+        // The answer arrives while the check is under way, and the check fails nevertheless.
+        (void)fixture.send(Fixture::packetOf(1, token, 1101, 700, 0));
+        fixture.router.checked(token, false, fixture.now);
+        EXPECT_TRUE(fixture.router.takeResets().empty());
+    }
+
+    // Guards against an upstream that is avoided for ever, and against flows that are reset on old evidence after a cut
+    // has healed, when the upstream still holds them.
+    TEST(FlowRouter, AnUnreachableUpstreamIsUsedAgainOnceItAcceptsAConnection)
+    {
+        Fixture fixture { { announce(1, "logger", "a"), announce(2, "logger", "b") } };
+        const RoutingToken token = fixture.open(1);
+        (void)repeatRequest(fixture, 1, token);
+        fixture.router.checked(token, false, fixture.now);
+        (void)fixture.router.takeChecks();
+        (void)fixture.router.takeNotes();
+        fixture.now += FlowRouterSettings {}.checkValidity;
+        EXPECT_EQ(fixture.send(Fixture::packetOf(9, token, 5, 5, 10)).action, PacketAction::Forward);
+        ASSERT_EQ(fixture.router.takeChecks().size(), 1U);
+        EXPECT_EQ(fixture.send(Fixture::openingOf(2)).upstream->announced.number, upstream::UpstreamNumber { 2 });
+        fixture.router.checked(token, true, fixture.now);
+        EXPECT_EQ(fixture.router.takeNotes().front().cause, SuspicionCause::None);
+        EXPECT_EQ(fixture.send(Fixture::openingOf(3)).upstream->announced.number, upstream::UpstreamNumber { 1 });
+    }
+
+    // Load: all upstreams of a zone are gone while many callers open flows. Guards against a storm of checks.
+    TEST(FlowRouter, ChecksAnUpstreamLessAndLessOften)
+    {
+        Fixture fixture { { announce(1, "logger", "a"), announce(2, "logger", "b") } };
+        const RoutingToken token = fixture.open(1);
+        (void)repeatRequest(fixture, 1, token);
+        int checks = 0;
+        for (std::uint16_t port = 100; port < 1100; ++port) {
+            for (const AddressCheck& check : fixture.router.takeChecks()) {
+                if (check.token == token) {
+                    ++checks;
+                    fixture.router.checked(token, false, fixture.now);
+                }
+            }
+            fixture.now += Milliseconds { 10 };
+            (void)fixture.open(port);
+        }
+        EXPECT_GE(checks, 3);
+        EXPECT_LE(checks, 6) << "in 15 s: at 0, 1, 3, 7 and 11 s";
+    }
+
+    // Load: an upstream dies that many routers hold idle flows of. Guards against non-idempotent requests that find out
+    // one by one, and against routers that believe what a router in a cut-off place says without looking.
+    TEST(FlowRouter, LooksForItselfWhenAnotherRouterSuspectsAnUpstream)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        const RoutingToken token = fixture.open(1);
+        const upstream::UpstreamNumber number { 1 };
+        fixture.now += Milliseconds { 300 };
+        fixture.router.suspect({ number, Milliseconds { 50 } }, fixture.now);
+        EXPECT_EQ(fixture.router.takeChecks().size(), 1U);
+        EXPECT_TRUE(fixture.router.takeResets().empty());
+        fixture.now += Milliseconds { 150 };
+        fixture.router.suspect({ number, Milliseconds { 201 } }, fixture.now);
+        EXPECT_TRUE(fixture.router.takeChecks().empty()) << "the same suspicion again";
+        fixture.router.checked(token, false, fixture.now);
+        EXPECT_EQ(fixture.router.takeResets().size(), 1U);
+        EXPECT_EQ(fixture.router.takeFindings(), std::vector { number });
+    }
+
+    // Guards against checks of an upstream that has answered since it was suspected.
+    TEST(FlowRouter, AnAnswerAfterASuspicionIsEnough)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        (void)fixture.open(1);
+        fixture.router.suspect({ upstream::UpstreamNumber { 1 }, Milliseconds { 20 } }, fixture.now);
+        EXPECT_TRUE(fixture.router.takeChecks().empty());
+    }
+
 } // namespace
 } // namespace zinnia::routing::test
--- /dev/null
+++ b/test/zinnia/upstream/suspicion_board_test.cpp
@@ -0,0 +1,49 @@
+#include "zinnia/upstream/suspicion_board.hpp"
+
+#include <gtest/gtest.h>
+
+namespace zinnia::upstream {
+namespace {
+
+    constexpr UpstreamNumber one { 1 };
+    const TimePoint start { Seconds { 1000 } };
+
+    // Guards against a suspicion that two processes tell each other for ever.
+    TEST(SuspicionBoard, HearsayDoesNotRenewASuspicion)
+    {
+        SuspicionBoard left;
+        SuspicionBoard right;
+        EXPECT_TRUE(left.report({ one, Milliseconds { 0 } }, start));
+        for (Milliseconds at { 0 }; at < SuspicionBoard::lifetime; at += Milliseconds { 100 }) {
+            for (const auto& suspicion : left.current(start + at))
+                (void)right.report(suspicion, start + at);
+            for (const auto& suspicion : right.current(start + at))
+                (void)left.report(suspicion, start + at);
+        }
+        EXPECT_TRUE(left.current(start + SuspicionBoard::lifetime).empty());
+        EXPECT_TRUE(right.current(start + SuspicionBoard::lifetime).empty());
+    }
+
+    // Guards against an old report that hides a new one, and against one that comes too late to matter.
+    TEST(SuspicionBoard, KeepsTheNewestReportOfAnUpstream)
+    {
+        SuspicionBoard board;
+        EXPECT_FALSE(board.report({ one, SuspicionBoard::lifetime }, start));
+        EXPECT_TRUE(board.report({ one, Milliseconds { 300 } }, start));
+        EXPECT_FALSE(board.report({ one, Milliseconds { 100 } }, start));
+        EXPECT_FALSE(board.report({ one, Milliseconds { 900 } }, start));
+        ASSERT_EQ(board.current(start).size(), 1U);
+        EXPECT_EQ(board.current(start).front().age, Milliseconds { 100 });
+    }
+
+    // Load: a whole fleet of upstreams is gone. Guards against news that no longer fit into a datagram.
+    TEST(SuspicionBoard, IsBounded)
+    {
+        SuspicionBoard board;
+        for (std::uint64_t number = 1; number <= 10 * SuspicionBoard::limit; ++number)
+            (void)board.report({ UpstreamNumber { number }, Milliseconds { 0 } }, start);
+        EXPECT_EQ(board.current(start).size(), SuspicionBoard::limit);
+    }
+
+} // namespace
+} // namespace zinnia::upstream
