--- a/src/zinnia/runtime/datagram_batch.cpp
+++ b/src/zinnia/runtime/datagram_batch.cpp
@@ -17,7 +17,9 @@
 } // namespace
 
 struct DatagramReceiver::Buffers {
-    std::vector<std::uint8_t> bytes = std::vector<std::uint8_t>(batchSize * largestDatagram);
+    // Not set to zero: touching 4 MB takes 4 ms of processor time, which is a tenth of a second on a 0.04 share of a
+    // core.
+    std::unique_ptr<std::uint8_t[]> bytes = std::make_unique_for_overwrite<std::uint8_t[]>(batchSize * largestDatagram);
     std::array<iovec, batchSize> vectors {};
     std::array<sockaddr_in, batchSize> sources {};
     std::array<mmsghdr, batchSize> headers {};
@@ -25,7 +27,7 @@
     Buffers()
     {
         for (std::size_t i = 0; i < batchSize; ++i) {
-            this->vectors[i] = { this->bytes.data() + i * largestDatagram, largestDatagram };
+            this->vectors[i] = { this->bytes.get() + i * largestDatagram, largestDatagram };
             this->headers[i].msg_hdr.msg_iov = &this->vectors[i];
             this->headers[i].msg_hdr.msg_iovlen = 1;
             this->headers[i].msg_hdr.msg_name = &this->sources[i];
--- a/test/zinnia/runtime/datagram_batch_test.cpp
+++ b/test/zinnia/runtime/datagram_batch_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 #include <poll.h>
+#include <sys/resource.h>
 
 namespace zinnia::runtime {
 namespace {
@@ -65,5 +66,17 @@
         EXPECT_EQ(second.error(), SocketError::AddressInUse);
     }
 
+    // Guards against buffers that are touched before anything is received: on a small share of a core this delayed the
+    // return of a router after a power failure by more than a tenth of a second.
+    TEST(DatagramBatch, AReceiverTouchesItsBuffersOnlyWhenItReceives)
+    {
+        rusage before {};
+        rusage after {};
+        ASSERT_EQ(getrusage(RUSAGE_SELF, &before), 0);
+        const DatagramReceiver receiver;
+        ASSERT_EQ(getrusage(RUSAGE_SELF, &after), 0);
+        EXPECT_LT(after.ru_minflt - before.ru_minflt, 64) << "pages; the buffers have 1,024";
+    }
+
 } // namespace
 } // namespace zinnia::runtime
