--- a/test/platform/soak/traffic.py
+++ b/test/platform/soak/traffic.py
@@ -23,6 +23,7 @@
         self.service = service
         self.zone = zone
         self.transport = None
+        self.health = None
         self.disturbed_at = 0.0
         self.task = None
         self.busy = False
@@ -37,6 +38,9 @@
         self.disturbed_at = time.monotonic()
         self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self, local_addr=(self.address, UPSTREAM_PORT))
+        # Routers see from a connection that the upstream lives; they send no health call.
+        self.health = await asyncio.start_server(
+            lambda _, writer: writer.close(), self.address, UPSTREAM_PORT, reuse_address=True)
         self.task = asyncio.create_task(self._announce())
 
     def crash(self):
@@ -46,6 +50,9 @@
         if self.transport:
             self.transport.close()
             self.transport = None
+        if self.health:
+            self.health.close()
+            self.health = None
 
     async def drain(self):
         """Announces the drain until it is acknowledged, goes on serving for a while, and leaves."""
