routing: look for overdue answers and handshakes

Cause: when the process of an upstream dies and its machine lives, the machine resets the caller's flow. The router sees none of that, and the caller repeats nothing, so the router learned of the death from the next opening that happened to go there. Change: twenty times a second the router looks for answers that are overdue in flows whose callers acknowledge answers at once, and for openings without a handshake, and has the address checked. Ruled out: doing the same for all flows (callers of one-packet answers acknowledge with their next request only).

--- a/src/zinnia/routing/flow_router.cpp
+++ b/src/zinnia/routing/flow_router.cpp
@@ -210,8 +210,13 @@
         this->answered(flow, upstream, now);
     } else if (isAfter(packet.acknowledged, flow.acknowledged)) {
         flow.acknowledged = packet.acknowledged;
-        if (flow.waiting)
+        if (flow.waiting) {
             decision.answer = now - flow.sentAt;
+            if (packet.dataBytes == 0) {
+                flow.acknowledgesAtOnce = true;
+                this->noteAnswer(*decision.answer);
+            }
+        }
         this->answered(flow, upstream, now);
     }
     if (packet.aborts || packet.finishes) {
--- a/src/zinnia/routing/flow_router.hpp
+++ b/src/zinnia/routing/flow_router.hpp
@@ -61,6 +61,13 @@
      * fails, three times at most.
      */
     Milliseconds checkInterval { 500 };
+    /**
+     * An answer that does not show for this long, in flows whose callers acknowledge answers at once, asks for a check
+     * too: a caller whose machine was refused repeats nothing. At least this, and several times the usual answer.
+     */
+    Milliseconds shortestAnswer { 100 };
+    /** Unit: usual times of an answer. */
+    std::int64_t answerFactor = 4;
     /** How long a failed check stands for an open flow; an upstream may have come back since, with its flows. */
     Milliseconds checkValidity { 1000 };
     /**
@@ -214,6 +221,8 @@
     [[nodiscard]] std::vector<UpstreamNote> takeNotes() { return std::exchange(this->notes, {}); }
     /** @brief Forgets which upstreams left openings unanswered: this process stood still and has seen no answers. */
     void forgive() { this->upstreams.forgiveAll(); }
+    /** @brief Looks for answers that are overdue; to be called about each 50 ms. */
+    void watch(TimePoint now);
     /** @brief Forgets ended flows and upstreams; to be called about once a second. */
     void expire(TimePoint now);
 
@@ -246,6 +255,8 @@
         /** Its caller waits for an answer. */
         bool waiting {};
         bool stalled {};
+        /** Its caller has acknowledged an answer before it sent the next request. */
+        bool acknowledgesAtOnce {};
     };
 
     struct ReturnedZone {
@@ -268,6 +279,7 @@
     void requestCheck(Upstream& upstream, Milliseconds interval, TimePoint now);
     void noteOpening(Upstream& upstream, const Endpoint& caller, TimePoint now);
     void noteHandshake(Microseconds duration);
+    void noteAnswer(Microseconds duration);
     [[nodiscard]] Microseconds handshakeTimeout() const;
     /** @return Whether an upstream has left an opening unanswered and its next try is not due. */
     [[nodiscard]] bool isAvoided(const Upstream& upstream, TimePoint now) const;
@@ -287,6 +299,8 @@
     std::vector<UpstreamNote> notes;
     /** Running mean of the time from an opening to the end of its handshake. */
     Microseconds usualHandshake {};
+    /** Running mean of the time until an answer is acknowledged, where that is done at once. */
+    Microseconds usualAnswer {};
     std::unordered_map<Endpoint, std::size_t> routeOf;
     std::unordered_set<std::string> withdrawn;
     std::vector<ReturnedZone> returned;
--- a/src/zinnia/routing/flow_router_choice.cpp
+++ b/src/zinnia/routing/flow_router_choice.cpp
@@ -7,6 +7,13 @@
 
 using upstream::AnnouncedState;
 
+namespace {
+
+    /** Weight of the past in running means. */
+    constexpr std::int64_t smoothing = 8;
+
+} // namespace
+
 void FlowRouter::noteOpening(Upstream& upstream, const Endpoint& caller, TimePoint now)
 {
     if (!upstream.unansweredSince) {
@@ -23,9 +30,35 @@
         openings.push_back({ caller.address, now });
 }
 
+void FlowRouter::noteAnswer(Microseconds duration)
+{
+    this->usualAnswer
+        += this->usualAnswer == Microseconds { 0 } ? duration : (duration - this->usualAnswer) / smoothing;
+}
+
+void FlowRouter::watch(TimePoint now)
+{
+    const Microseconds overdue
+        = std::max<Microseconds>(this->settings.shortestAnswer, this->settings.answerFactor * this->usualAnswer);
+    for (const auto& [id, flow] : this->flows) {
+        const bool isWatched = flow.established && flow.waiting && flow.acknowledgesAtOnce && !flow.stalled;
+        if (!isWatched || now - flow.sentAt < overdue)
+            continue;
+        Upstream* upstream = this->upstreams.find(flow.token);
+        if (upstream != nullptr && upstream->answeredAt < flow.sentAt)
+            this->requestCheck(*upstream, this->settings.checkInterval, now);
+    }
+    const Microseconds timeout = this->handshakeTimeout();
+    for (auto& [token, upstream] : this->upstreams.all()) {
+        // A dead one is checked again only while openings ask for it.
+        if (upstream.unansweredSince && !upstream.unreachableAt && !upstream.dead
+            && now - *upstream.unansweredSince > timeout)
+            this->requestCheck(upstream, this->settings.checkInterval, now);
+    }
+}
+
 void FlowRouter::noteHandshake(Microseconds duration)
 {
-    constexpr std::int64_t smoothing = 8;
     if (duration > this->settings.longestHandshake)
         return;
     this->usualHandshake
--- a/src/zinnia/routing/upstream_directory.hpp
+++ b/src/zinnia/routing/upstream_directory.hpp
@@ -77,6 +77,7 @@
     /** @return The upstreams of a service in no order; pointers are valid until the next `merge` or `forgetOld`. */
     [[nodiscard]] const std::vector<Upstream*>& ofService(const std::string& service) const;
     [[nodiscard]] const std::unordered_map<RoutingToken, Upstream>& all() const noexcept { return this->upstreams; }
+    [[nodiscard]] std::unordered_map<RoutingToken, Upstream>& all() noexcept { return this->upstreams; }
     [[nodiscard]] std::size_t size() const noexcept { return this->upstreams.size(); }
 
 private:
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -10,6 +10,8 @@
     /** The same until routes and upstreams are known. */
     constexpr Milliseconds firstFeedTick { 50 };
     constexpr Milliseconds expiryInterval { 1000 };
+    /** Half of the shortest time after which an answer is overdue. */
+    constexpr Milliseconds watchInterval { 50 };
     /** Checks of many upstreams that died together end within about this time. */
     constexpr Milliseconds reportDelay { 10 };
     /** Packets that wait for the first routes; about 2 MB at most. */
@@ -110,6 +112,7 @@
         this->metricsServer = std::move(metricsListener.value());
     }
     this->askControls();
+    this->watchAnswers();
     this->everySecond();
     return std::nullopt;
 }
@@ -325,6 +328,18 @@
         log(touched ? Event::ControlRegained : Event::ControlLost, Field { "controls", this->feed.knownControls() });
 }
 
+void RouterProcess::watchAnswers()
+{
+    this->loop->schedule(watchInterval, [this] { this->watchAnswers(); });
+    const TimePoint now = this->loop->now();
+    // After a pause answers wait in the socket and have not been seen; `askControls` notices it too, maybe later.
+    if (this->lastWatch != TimePoint {} && now - this->lastWatch < 2 * watchInterval) {
+        this->router.watch(now);
+        this->startChecks();
+    }
+    this->lastWatch = now;
+}
+
 void RouterProcess::everySecond()
 {
     this->loop->schedule(expiryInterval, [this] { this->everySecond(); });
--- a/src/zinnia/runtime/router_process.hpp
+++ b/src/zinnia/runtime/router_process.hpp
@@ -66,6 +66,7 @@
     void report(const routing::FlowPacket& packet, const routing::RoutingDecision& decision);
     void receiveFeed(const wire::OpenedMessage& message);
     void askControls();
+    void watchAnswers();
     void everySecond();
     [[nodiscard]] bool isReady() const;
 
@@ -97,6 +98,7 @@
     /** Flows reset together with the one that showed that their upstream is dead. */
     Counter* deadResets {};
     TimePoint lastTick;
+    TimePoint lastWatch;
     bool stopping {};
     bool wasReady {};
     bool inTouch {};
--- a/test/zinnia/routing/flow_router_test.cpp
+++ b/test/zinnia/routing/flow_router_test.cpp
@@ -515,5 +515,56 @@
         EXPECT_TRUE(fixture.router.takeChecks().empty());
     }
 
+    // Load: the process of an upstream dies, and its machine refuses the packets of its flows. Its callers repeat
+    // nothing, so that without a look at overdue answers only the next opening shows it.
+    TEST(FlowRouter, ChecksAnUpstreamWhoseAnswerIsOverdue)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        const RoutingToken token = fixture.open(1);
+        (void)fixture.open(2);
+        const auto request = [&](std::uint16_t port, std::uint32_t number) {
+            fixture.now += Milliseconds { 5 };
+            (void)fixture.send(
+                Fixture::packetOf(port, token, 1000U * port + 1 + number * 100, 500 + number * 2000, 100));
+        };
+        request(1, 0);
+        fixture.now += Milliseconds { 25 };
+        (void)fixture.send(Fixture::packetOf(1, token, 1101, 2500, 0));
+        request(1, 1);
+        // The callers of the other flow acknowledge an answer only with their next request.
+        request(2, 0);
+        fixture.now += Milliseconds { 90 };
+        fixture.router.watch(fixture.now);
+        EXPECT_TRUE(fixture.router.takeChecks().empty()) << "answers may take several times as long as usual";
+        fixture.now += Milliseconds { 10 };
+        fixture.router.watch(fixture.now);
+        EXPECT_EQ(fixture.router.takeChecks().size(), 1U);
+        fixture.now += Milliseconds { 50 };
+        fixture.router.watch(fixture.now);
+        EXPECT_TRUE(fixture.router.takeChecks().empty()) << "not again so soon";
+    }
+
+    // Guards against checks of upstreams whose callers do not show when they were answered.
+    TEST(FlowRouter, ChecksNoUpstreamWhoseAnswersDoNotShow)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        const RoutingToken token = fixture.open(1);
+        fixture.now += Milliseconds { 5 };
+        (void)fixture.send(Fixture::packetOf(1, token, 1001, 500, 100));
+        fixture.now += Milliseconds { 900 };
+        fixture.router.watch(fixture.now);
+        EXPECT_TRUE(fixture.router.takeChecks().empty());
+    }
+
+    // Guards against an opening to a dead upstream that is noticed only when the next caller comes.
+    TEST(FlowRouter, ChecksAnUpstreamThatLeavesAnOpeningUnanswered)
+    {
+        Fixture fixture { { announce(1, "logger", "a") } };
+        (void)fixture.send(Fixture::openingOf(1));
+        fixture.now += FlowRouterSettings {}.longestHandshake + Milliseconds { 1 };
+        fixture.router.watch(fixture.now);
+        EXPECT_EQ(fixture.router.takeChecks().size(), 1U);
+    }
+
 } // namespace
 } // namespace zinnia::routing::test
