feed: relay news of upstreams only to instances that do not hear its source

Cause: every control instance sent on everything that was new to it, also what it had heard from another one, so each announcement travelled the square of the number of instances times. Change: an instance tells all others what was announced to it, and relays the rest only to those that do not hear the source, by their own lists of whom they hear. Changes are sent in two rounds, as relays no longer make up for a lost datagram.

--- a/src/zinnia/feed/control_roster.cpp
+++ b/src/zinnia/feed/control_roster.cpp
@@ -55,6 +55,19 @@
     return changed;
 }
 
+void ControlRoster::recordHearing(InstanceId instance, const std::vector<InstanceId>& live)
+{
+    const auto found = this->members.find(instance);
+    if (found != this->members.end())
+        found->second.hears = { live.begin(), live.end() };
+}
+
+bool ControlRoster::doesHear(InstanceId instance, InstanceId other) const
+{
+    const auto found = this->members.find(instance);
+    return found != this->members.end() && found->second.hears.contains(other);
+}
+
 bool ControlRoster::forgetOld(TimePoint now)
 {
     return std::erase_if(this->members, [&](const auto& item) {
--- a/src/zinnia/feed/control_roster.hpp
+++ b/src/zinnia/feed/control_roster.hpp
@@ -4,6 +4,7 @@
 #include "zinnia/core/time.hpp"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace zinnia::feed {
@@ -30,6 +31,10 @@
     RosterChange heard(InstanceId instance, Epoch epoch, TimePoint now);
     /** @brief Another instance names live ones. @return Whether one of them was not known. */
     bool learn(const std::vector<InstanceId>& instances, TimePoint now);
+    /** @brief Another instance tells which ones it hears. */
+    void recordHearing(InstanceId instance, const std::vector<InstanceId>& live);
+    /** @return Whether an instance hears another one itself, as far as it has told. */
+    [[nodiscard]] bool doesHear(InstanceId instance, InstanceId other) const;
     /** @return Whether an instance was forgotten. */
     bool forgetOld(TimePoint now);
 
@@ -44,6 +49,7 @@
         TimePoint learnedAt;
         TimePoint heardAt;
         Epoch epoch;
+        std::set<InstanceId> hears;
     };
 
     RosterSettings settings;
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -95,7 +95,7 @@
     void receive(InstanceId sender, const feed::Gossip& message, const Endpoint& source);
     void receive(InstanceId sender, const feed::GossipAck& message, const Endpoint& source);
     void receive(InstanceId sender, const feed::FeedRequest& message, const Endpoint& source);
-    void observe(const upstream::Announcement& announcement, Milliseconds age, const char* path);
+    void observe(const upstream::Announcement& announcement, Milliseconds age, InstanceId heardFrom);
     void share(upstream::UpstreamNumber number, CallDone done);
     void finishShare(std::uint64_t number, CallStatus status);
     void gossip();
--- a/src/zinnia/runtime/fleet_process_news.cpp
+++ b/src/zinnia/runtime/fleet_process_news.cpp
@@ -1,3 +1,4 @@
+#include "zinnia/feed/gossip_relay.hpp"
 #include "zinnia/runtime/fleet_process.hpp"
 #include "zinnia/runtime/logger.hpp"
 
@@ -18,21 +19,21 @@
     /** Shortest time between two writes of it. */
     constexpr Milliseconds rememberInterval { 500 };
 
-    /** @param path How this instance learned of it. */
-    void logChange(const upstream::Announcement& announcement, Milliseconds age, const char* path)
+    /** @param heardFrom The control instance that told of it; 0 for a call of the upstream. */
+    void logChange(const upstream::Announcement& announcement, Milliseconds age, InstanceId heardFrom)
     {
         log(Event::UpstreamAnnounced, Field { "upstream", announcement.number },
             Field { "service", announcement.service }, Field { "address", announcement.address },
             Field { "zone", announcement.zone }, Field { "state", announcement.state },
             Field { "cold_ms", announcement.coldLeft }, Field { "sequence", announcement.order.sequence },
-            Field { "age_ms", age }, Field { "path", path });
+            Field { "age_ms", age }, Field { "heard_from", heardFrom });
     }
 
 } // namespace
 
 void FleetProcess::announce(const upstream::Announcement& announcement, CallDone done)
 {
-    this->observe(announcement, Milliseconds { 0 }, "call");
+    this->observe(announcement, Milliseconds { 0 }, InstanceId {});
     // An instance that is cut off takes note, but sends the upstream to one that others hear.
     if (this->loop->now() - this->leaderSeen > leaderPatience)
         return done({ CallStatus::Unavailable });
@@ -44,14 +45,15 @@
 void FleetProcess::depart(upstream::UpstreamNumber number, CallDone done)
 {
     if (this->board.depart(number, this->loop->now()) == upstream::BoardOutcome::Changed)
-        logChange(*this->board.find(number), Milliseconds { 0 }, "call");
+        logChange(*this->board.find(number), Milliseconds { 0 }, InstanceId {});
     this->share(number, std::move(done));
 }
 
-void FleetProcess::observe(const upstream::Announcement& announcement, Milliseconds age, const char* path)
+void FleetProcess::observe(const upstream::Announcement& announcement, Milliseconds age, InstanceId heardFrom)
 {
-    if (this->board.observe(announcement, age, this->loop->now()) == upstream::BoardOutcome::Changed)
-        logChange(announcement, age, path);
+    const auto outcome = this->board.observe(announcement, age, this->loop->now(), heardFrom);
+    if (outcome == upstream::BoardOutcome::Changed)
+        logChange(announcement, age, heardFrom);
 }
 
 void FleetProcess::share(upstream::UpstreamNumber number, CallDone done)
@@ -109,8 +111,9 @@
     const TimePoint now = this->loop->now();
     const feed::RosterChange change = this->roster.heard(sender, message.epoch, now);
     const bool learned = this->roster.learn(message.controls, now);
+    this->roster.recordHearing(sender, message.controls);
     for (const auto& [announcement, age] : message.announcements)
-        this->observe(announcement, age, "gossip");
+        this->observe(announcement, age, sender);
     for (const auto& suspicion : message.suspicions)
         (void)this->suspicions.report(suspicion, now);
     if (message.number != 0)
@@ -193,10 +196,12 @@
 {
     this->loop->schedule(gossipInterval, [this] { this->gossip(); });
     const TimePoint now = this->loop->now();
-    const feed::Gossip message { 0, this->epoch, this->roster.live(now), this->board.takeFresh(now),
-        this->suspicions.current(now) };
-    for (const auto& peer : this->roster.peers())
+    const auto fresh = this->board.takeFresh(now);
+    feed::Gossip message { 0, this->epoch, this->roster.live(now), {}, this->suspicions.current(now) };
+    for (const auto& peer : this->roster.peers()) {
+        message.announcements = feed::newsFor(peer, fresh, this->roster);
         this->link->send(peer, wire::MessageKind::Gossip, message);
+    }
 }
 
 } // namespace zinnia::runtime
--- a/src/zinnia/upstream/announcement_board.cpp
+++ b/src/zinnia/upstream/announcement_board.cpp
@@ -9,6 +9,7 @@
 
     /** Differences of the end of a cold start below this come from the path of the announcement. */
     constexpr Milliseconds coldTolerance { 300 };
+    constexpr unsigned roundsOfAChange = 2;
 
     Milliseconds millisecondsBetween(TimePoint from, TimePoint to)
     {
@@ -23,7 +24,8 @@
 
 } // namespace
 
-BoardOutcome AnnouncementBoard::observe(const Announcement& announcement, Milliseconds age, TimePoint now)
+BoardOutcome AnnouncementBoard::observe(
+    const Announcement& announcement, Milliseconds age, TimePoint now, InstanceId heardFrom)
 {
     const auto [found, isNew] = this->entries.try_emplace(announcement.number);
     Entry& entry = found->second;
@@ -40,11 +42,12 @@
     const bool changed = isNew || coldChanged || !saysTheSame(entry.announcement, announcement);
     entry.announcement = announcement;
     entry.announcedAt = announcedAt;
-    entry.fresh = true;
-    if (changed)
+    entry.heardFrom = heardFrom;
+    entry.rounds = std::max(entry.rounds, changed ? roundsOfAChange : 1U);
+    if (changed) {
         entry.coldUntil = coldUntil;
-    if (changed)
         entry.change = ++this->changes;
+    }
     return changed ? BoardOutcome::Changed : BoardOutcome::Renewed;
 }
 
@@ -68,7 +71,8 @@
         if (!trusted || !isLive || now - entry.announcedAt < this->settings.lease)
             continue;
         entry.announcement.state = AnnouncedState::Silent;
-        entry.fresh = true;
+        entry.heardFrom = InstanceId {};
+        entry.rounds = roundsOfAChange;
         entry.change = ++this->changes;
         silent.push_back(number);
     }
@@ -88,12 +92,14 @@
     return result;
 }
 
-std::vector<AgedAnnouncement> AnnouncementBoard::takeFresh(TimePoint now)
+std::vector<FreshAnnouncement> AnnouncementBoard::takeFresh(TimePoint now)
 {
-    std::vector<AgedAnnouncement> result;
+    std::vector<FreshAnnouncement> result;
     for (auto& [number, entry] : this->entries) {
-        if (std::exchange(entry.fresh, false))
-            result.push_back(aged(entry, now));
+        if (entry.rounds == 0)
+            continue;
+        --entry.rounds;
+        result.push_back({ aged(entry, now), entry.heardFrom });
     }
     return result;
 }
--- a/src/zinnia/upstream/announcement_board.hpp
+++ b/src/zinnia/upstream/announcement_board.hpp
@@ -26,6 +26,13 @@
     }
 };
 
+/** @brief An announcement that is news, and who told of it. */
+struct FreshAnnouncement {
+    AgedAnnouncement announcement;
+    /** Instance 0 if the upstream announced itself here, or this instance has concluded something about it. */
+    InstanceId heardFrom;
+};
+
 /** @brief What an announcement did to the board. */
 enum class BoardOutcome : std::uint8_t { Changed, Renewed, Stale };
 
@@ -42,8 +49,12 @@
     {
     }
 
-    /** @brief Merges an announcement that is `age` old. */
-    BoardOutcome observe(const Announcement& announcement, Milliseconds age, TimePoint now);
+    /**
+     * @brief Merges an announcement that is `age` old.
+     * @param heardFrom The control instance that told of it, 0 if the upstream announced itself here.
+     */
+    BoardOutcome observe(
+        const Announcement& announcement, Milliseconds age, TimePoint now, InstanceId heardFrom = InstanceId {});
 
     /** @brief Records the departure of an upstream. @return Stale if it is not known. */
     BoardOutcome depart(UpstreamNumber number, TimePoint now);
@@ -55,8 +66,11 @@
      */
     std::vector<UpstreamNumber> expire(bool trusted, TimePoint now);
 
-    /** @return Announcements that became known since the last call, for the other control instances. */
-    [[nodiscard]] std::vector<AgedAnnouncement> takeFresh(TimePoint now);
+    /**
+     * @return Announcements that became known since the last call, for the other control instances. Changes come in two
+     * calls, because the datagram with the first may be lost.
+     */
+    [[nodiscard]] std::vector<FreshAnnouncement> takeFresh(TimePoint now);
     /** @return All announcements. */
     [[nodiscard]] std::vector<AgedAnnouncement> all(TimePoint now) const;
     /** @return Announcements that changed after the change `since`, oldest first, at most `limit`. */
@@ -73,7 +87,9 @@
         TimePoint announcedAt;
         TimePoint coldUntil;
         std::uint64_t change {};
-        bool fresh {};
+        InstanceId heardFrom;
+        /** Calls of `takeFresh` that still return it. */
+        unsigned rounds {};
     };
 
     [[nodiscard]] static AgedAnnouncement aged(const Entry& entry, TimePoint now);
