feed: leave control instances without a leader, and report without a reply

Cause, concluded from the code: a router asks three control instances as long as they answer, also if all three have lost their leader and know only old routes, while others that follow one could be reached. FeedClient now prefers those that follow a leader, and tries the rest while it has fewer than three of them. Test: FeedClient.LeavesControlInstancesThatHaveLostTheirLeader.

Reports of suspicions no longer ask for a reply: a router that lacks a route table of 2,000 routes would be sent it for each report over its link of 2 Mbit/s.

--- a/src/zinnia/feed/feed_client.cpp
+++ b/src/zinnia/feed/feed_client.cpp
@@ -3,6 +3,7 @@
 #include "zinnia/core/hash.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinnia::feed {
 
@@ -29,7 +30,9 @@
             result.push_back(id);
     }
     if (result.size() > this->settings.sources) {
-        const auto scoreOf = [this](InstanceId id) { return hashOf(this->settings.self.value, id.value); };
+        const auto scoreOf = [this](InstanceId id) {
+            return std::pair { this->controls.at(id).confirmed, hashOf(this->settings.self.value, id.value) };
+        };
         std::sort(result.begin(), result.end(),
             [&](InstanceId left, InstanceId right) { return scoreOf(left) > scoreOf(right); });
         result.resize(this->settings.sources);
@@ -51,8 +54,10 @@
         this->lastAsked = *next;
         requests.push_back(this->ask(*next, this->controls[*next], revision, now));
     }
-    // Until enough control instances answer, the others are tried at a lower rate.
-    if (sources.size() < this->settings.sources) {
+    // Until enough control instances that follow a leader answer, the others are tried at a lower rate.
+    const auto confirmed = static_cast<std::size_t>(std::count_if(
+        sources.begin(), sources.end(), [this](InstanceId id) { return this->controls.at(id).confirmed; }));
+    if (confirmed < this->settings.sources) {
         const Milliseconds retry = sources.empty() ? this->settings.eagerRetry : this->settings.retry;
         for (auto& [id, control] : this->controls) {
             if (!this->answers(control, now) && now - control.askedAt >= retry)
@@ -62,14 +67,6 @@
     return requests;
 }
 
-std::vector<OutgoingRequest> FeedClient::askAll(std::uint64_t revision, TimePoint now)
-{
-    std::vector<OutgoingRequest> requests;
-    for (const InstanceId id : this->chosen(now))
-        requests.push_back(this->ask(id, this->controls[id], revision, now));
-    return requests;
-}
-
 OutgoingRequest FeedClient::ask(InstanceId id, Control& control, std::uint64_t revision, TimePoint now)
 {
     control.askedAt = now;
@@ -84,6 +81,7 @@
         return std::nullopt;
     Control& control = found->second;
     control.answeredAt = now;
+    control.confirmed = reply.confirmed;
     control.board = reply.board;
     control.change = reply.change;
     for (const auto& other : reply.controls) {
--- a/src/zinnia/feed/feed_client.hpp
+++ b/src/zinnia/feed/feed_client.hpp
@@ -54,8 +54,11 @@
     /** @return The requests that are due. */
     [[nodiscard]] std::vector<OutgoingRequest> tick(std::uint64_t revision, TimePoint now);
 
-    /** @return A request to each of the asked control instances, for news that should not wait for the next turn. */
-    [[nodiscard]] std::vector<OutgoingRequest> askAll(std::uint64_t revision, TimePoint now);
+    /**
+     * @return The control instances that are asked in turn, for reports that should not wait for the next turn. Those
+     * without a leader come last: they answer too, but what they know may be old.
+     */
+    [[nodiscard]] std::vector<InstanceId> chosen(TimePoint now) const;
 
     /**
      * @brief Takes a reply into account.
@@ -80,6 +83,8 @@
         TimePoint learnedAt;
         TimePoint askedAt;
         TimePoint answeredAt;
+        /** Its last reply was confirmed by a leader. */
+        bool confirmed {};
         Epoch board;
         std::uint64_t change {};
     };
@@ -89,7 +94,6 @@
     {
         return control.answeredAt != TimePoint {} && now - control.answeredAt < this->settings.silence;
     }
-    [[nodiscard]] std::vector<InstanceId> chosen(TimePoint now) const;
     void forgetOld(TimePoint now);
 
     FeedClientSettings settings;
--- a/src/zinnia/feed/messages.hpp
+++ b/src/zinnia/feed/messages.hpp
@@ -14,7 +14,7 @@
 
 /** @brief A router asks a control instance for what has changed. */
 struct FeedRequest {
-    /** Chosen by the router; the reply repeats it. */
+    /** Chosen by the router; the reply repeats it. 0 if only suspicions are reported and no reply is wanted. */
     std::uint64_t number {};
     /** Newest fleet state that the router has; 0 for none. */
     std::uint64_t revision {};
--- a/src/zinnia/runtime/fleet_process_news.cpp
+++ b/src/zinnia/runtime/fleet_process_news.cpp
@@ -140,6 +140,8 @@
             runtime::log(Event::SuspicionReported, Field { "upstream", suspicion.upstream }, Field { "router", sender },
                 Field { "age_ms", suspicion.age });
     }
+    if (message.number == 0)
+        return;
     feed::FeedReply reply;
     reply.number = message.number;
     reply.confirmed = this->hasLeader();
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -214,7 +214,11 @@
     if (!std::exchange(this->reportScheduled, true))
         this->loop->schedule(reportDelay, [this] {
             this->reportScheduled = false;
-            this->ask(this->feed.askAll(this->router.state().revision, this->loop->now()));
+            // Without a reply: a router that lacks a large route table would be sent it once for each report.
+            feed::FeedRequest report;
+            report.suspicions = this->suspicions.current(this->loop->now());
+            for (const InstanceId control : this->feed.chosen(this->loop->now()))
+                this->link->send(control, wire::MessageKind::FeedRequest, report);
         });
 }
 
--- a/test/zinnia/feed/feed_client_test.cpp
+++ b/test/zinnia/feed/feed_client_test.cpp
@@ -142,14 +142,41 @@
         EXPECT_EQ(roster.peers(), (std::vector { two }));
     }
 
-    // Guards against urgent news that waits for the turn of each control instance, and against news to silent ones.
-    TEST(FeedClient, AsksAllSourcesAtOnceForUrgentNews)
+    // Guards against reports to control instances that do not answer, or to more of them than are asked.
+    TEST(FeedClient, NamesTheSourcesThatAnswer)
     {
         FeedClient client { {}, { one, two, three, four } };
         (void)client.tick(0, start);
         for (const auto& id : { one, two, four })
             (void)client.receive(id, replyOf(3, 5, 5), 3, start);
-        EXPECT_EQ(asked(client.askAll(3, start)), (std::set { one, two, four }));
+        EXPECT_EQ(client.chosen(start), (std::vector { one, two, four }));
+    }
+
+    // Guards against a router that stays with old routes because the control instances that it asks were cut off from
+    // the others, while it could reach those (seen once on fivh-hutokor-grown, day hunt-9eab-7).
+    TEST(FeedClient, LeavesControlInstancesThatHaveLostTheirLeader)
+    {
+        const std::vector<InstanceId> all { one, two, three, four, InstanceId { 5 }, InstanceId { 6 } };
+        FeedClient client { {}, all };
+        TimePoint now = start;
+        (void)client.tick(0, now);
+        for (const InstanceId id : all)
+            (void)client.receive(id, replyOf(3, 5, 5), 3, now);
+        const std::vector<InstanceId> first = client.chosen(now);
+        ASSERT_EQ(first.size(), 3U);
+        const std::set<InstanceId> behind { first.begin(), first.end() };
+        // The three are cut off from the others now.
+        for (int turn = 0; turn < 20; ++turn) {
+            now += Milliseconds { 150 };
+            for (const auto& [id, request] : client.tick(3, now)) {
+                FeedReply reply = replyOf(behind.contains(id) ? 3 : 4, 5, 5);
+                reply.confirmed = !behind.contains(id);
+                (void)client.receive(id, reply, 3, now);
+            }
+        }
+        for (const InstanceId id : client.chosen(now))
+            EXPECT_FALSE(behind.contains(id)) << id.value;
+        EXPECT_EQ(client.chosen(now).size(), 3U);
     }
 
 } // namespace
