--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -23,8 +23,15 @@
     /** Batches read in one turn, so that timers and calls are not kept waiting under load. */
     constexpr int batchesEachTurn = 4;
 
-    enum CheckResult : std::size_t { checkConnected, checkFailed, checkNotStarted };
-    const std::array<std::string, 3> checkResultNames { "connected", "failed", "not_started" };
+    /** @brief How a check of an address ended. */
+    enum class CheckResult : std::uint8_t { Connected, Failed, NotStarted };
+
+    constexpr NameTable<CheckResult, 3> checkResultNames { {
+        { CheckResult::Connected, "connected" },
+        { CheckResult::Failed, "failed" },
+        { CheckResult::NotStarted, "not_started" },
+    } };
+    static_assert(isDense(checkResultNames));
 
     routing::FlowRouterSettings routerSettingsOf(const RouterSettings& settings, Epoch epoch)
     {
@@ -72,9 +79,9 @@
     this->handshakes = &this->metrics.latency({ "zinnia_router_handshake_seconds" });
     this->answers = &this->metrics.latency({ "zinnia_router_answer_seconds" });
     this->openings = &this->metrics.counter({ "zinnia_router_openings_total" });
-    for (std::size_t i = 0; i < checkResultNames.size(); ++i)
-        this->checkResults[i]
-            = &this->metrics.counter({ "zinnia_router_address_checks_total", "result", checkResultNames[i] });
+    for (const auto& row : checkResultNames)
+        this->checkResults[static_cast<std::size_t>(row.value)]
+            = &this->metrics.counter({ "zinnia_router_address_checks_total", "result", std::string { row.name } });
 }
 
 RouterProcess::~RouterProcess()
@@ -198,7 +205,7 @@
         const bool started = this->connections.check(check.address, check.timeout,
             [this, token = check.token](bool connected) { this->finishCheck(token, connected); });
         if (!started)
-            this->checkResults[checkNotStarted]->add();
+            this->checkResults[static_cast<std::size_t>(CheckResult::NotStarted)]->add();
     }
 }
 
@@ -232,7 +239,8 @@
 
 void RouterProcess::finishCheck(routing::RoutingToken token, bool connected)
 {
-    this->checkResults[connected ? checkConnected : checkFailed]->add();
+    const auto result = connected ? CheckResult::Connected : CheckResult::Failed;
+    this->checkResults[static_cast<std::size_t>(result)]->add();
     this->router.checked(token, connected, this->loop->now());
     this->reportFindings();
     this->sendResets();
