--- a/src/zinnia/runtime/background_file.cpp
+++ b/src/zinnia/runtime/background_file.cpp
@@ -1,5 +1,6 @@
 #include "zinnia/runtime/background_file.hpp"
 
+#include "zinnia/core/big_endian.hpp"
 #include "zinnia/core/hash.hpp"
 
 namespace zinnia::runtime {
@@ -7,7 +8,7 @@
 namespace {
 
     /** A hash of the content comes first, so that a write that was cut off is noticed. Unit: bytes. */
-    constexpr std::size_t hashBytes = 8;
+    constexpr std::size_t hashBytes = sizeof(std::uint64_t);
 
     std::uint64_t hashOfContent(BytesView content)
     {
@@ -41,9 +42,7 @@
     const auto content = file.value()->readAll();
     if (!content || content.value().size() < hashBytes)
         return std::nullopt;
-    std::uint64_t expected = 0;
-    for (std::size_t i = 0; i < hashBytes; ++i)
-        expected = (expected << 8U) | content.value()[i];
+    const auto expected = readBigEndian<std::uint64_t>(content.value().data());
     const BytesView body = BytesView { content.value() }.subspan(hashBytes);
     if (hashOfContent(body) != expected)
         return std::nullopt;
@@ -79,10 +78,8 @@
 
 bool BackgroundFile::store(const Bytes& content)
 {
-    Bytes bytes;
-    const std::uint64_t hash = hashOfContent(content);
-    for (std::size_t i = hashBytes; i > 0; --i)
-        bytes.push_back(static_cast<std::uint8_t>(hash >> (8 * (i - 1))));
+    Bytes bytes(hashBytes);
+    writeBigEndian(bytes.data(), hashOfContent(content));
     bytes.insert(bytes.end(), content.begin(), content.end());
     const std::string temporary = this->name + ".tmp";
     auto file = this->files->open(temporary, OpenMode::Replace);
--- a/src/zinnia/wire/envelope.cpp
+++ b/src/zinnia/wire/envelope.cpp
@@ -1,5 +1,7 @@
 #include "zinnia/wire/envelope.hpp"
 
+#include "zinnia/core/big_endian.hpp"
+
 #include <sodium.h>
 
 namespace zinnia::wire {
@@ -10,17 +12,15 @@
 
     template <class T> void appendNumber(Bytes& target, T value)
     {
-        for (unsigned shift = sizeof(T) * 8; shift > 0; shift -= 8)
-            target.push_back(static_cast<std::uint8_t>(value >> (shift - 8)));
+        target.resize(target.size() + sizeof(T));
+        writeBigEndian(target.data() + target.size() - sizeof(T), value);
     }
 
     template <class T> T takeNumber(BytesView& bytes)
     {
-        std::uint64_t value = 0;
-        for (std::size_t i = 0; i < sizeof(T); ++i)
-            value = (value << 8U) | bytes[i];
+        const T value = readBigEndian<T>(bytes.data());
         bytes = bytes.subspan(sizeof(T));
-        return static_cast<T>(value);
+        return value;
     }
 
     void computeTag(std::uint8_t* tag, BytesView content, const ClusterKey& key)
--- a/src/zinnia/wire/proxy_protocol.cpp
+++ b/src/zinnia/wire/proxy_protocol.cpp
@@ -1,5 +1,7 @@
 #include "zinnia/wire/proxy_protocol.hpp"
 
+#include "zinnia/core/big_endian.hpp"
+
 #include <algorithm>
 #include <array>
 
@@ -15,20 +17,6 @@
     constexpr std::uint8_t proxyCommand = 1;
     constexpr std::uint8_t udpOverIpv4 = 0x12;
 
-    void put(std::uint8_t* at, std::uint32_t value, unsigned bytes) noexcept
-    {
-        for (unsigned i = 0; i < bytes; ++i)
-            at[i] = static_cast<std::uint8_t>(value >> (8U * (bytes - 1 - i)));
-    }
-
-    std::uint32_t get(const std::uint8_t* at, unsigned bytes) noexcept
-    {
-        std::uint32_t value = 0;
-        for (unsigned i = 0; i < bytes; ++i)
-            value = (value << 8U) | at[i];
-        return value;
-    }
-
 } // namespace
 
 void encodeProxyHeader(
@@ -37,11 +25,11 @@
     std::uint8_t* at = std::copy(signature.begin(), signature.end(), target.data());
     at[0] = (version << 4U) | proxyCommand;
     at[1] = udpOverIpv4;
-    put(at + 2, addressBytes, 2);
-    put(at + 4, source.address, 4);
-    put(at + 8, destination.address, 4);
-    put(at + 12, source.port, 2);
-    put(at + 14, destination.port, 2);
+    writeBigEndian(at + 2, static_cast<std::uint16_t>(addressBytes));
+    writeBigEndian(at + 4, source.address);
+    writeBigEndian(at + 8, destination.address);
+    writeBigEndian(at + 12, source.port);
+    writeBigEndian(at + 14, destination.port);
 }
 
 Result<ProxiedDatagram, ProxyError> decodeProxy(BytesView bytes) noexcept
@@ -57,12 +45,12 @@
         return ProxyError::WrongCommand;
     if (at[1] != udpOverIpv4)
         return ProxyError::WrongFamily;
-    const std::size_t length = get(at + 2, 2);
+    const std::size_t length = readBigEndian<std::uint16_t>(at + 2);
     if (length < addressBytes || bytes.size() < prefixBytes + length)
         return ProxyError::Truncated;
     ProxiedDatagram datagram;
-    datagram.source = { get(at + 4, 4), static_cast<std::uint16_t>(get(at + 12, 2)) };
-    datagram.destination = { get(at + 8, 4), static_cast<std::uint16_t>(get(at + 14, 2)) };
+    datagram.source = { readBigEndian<std::uint32_t>(at + 4), readBigEndian<std::uint16_t>(at + 12) };
+    datagram.destination = { readBigEndian<std::uint32_t>(at + 8), readBigEndian<std::uint16_t>(at + 14) };
     datagram.payload = bytes.subspan(prefixBytes + length);
     return datagram;
 }
