request: add an owned request, and drop a kept answer, in one place

The resumption of an observation repeated how a placed request is entered and how the bytes of a kept answer are counted. No change of behaviour.

--- a/src/zinnia/request/owner.cpp
+++ b/src/zinnia/request/owner.cpp
@@ -42,29 +42,36 @@
         }
         this->requests.erase(known);
     }
-    const RequestClass properties = classify(message, this->serviceOf(event.service), this->settings.longestDeadline);
     if (!this->makeRoom(now)) {
         this->refuseUnrecorded(event, RefusalReason::RequestTableFull);
         return;
     }
+    Item& item = this->addOwn(key, event.bucket, message, now);
+    Progress& progress = *item.second.progress;
+    this->prepareObservation(key, progress, now);
+    progress.candidates = event.candidates;
+    progress.deputy = event.deputy;
+    progress.deadline = now + progress.properties.deadline;
+    if (this->holdsLease(now))
+        this->begin(item, now);
+}
+
+RequestOwner::Item& RequestOwner::addOwn(
+    const RequestKey& key, BucketIndex bucket, const CoapMessage& message, TimePoint now)
+{
     Item& item = *this->requests.try_emplace(key).first;
     Request& request = item.second;
     request.id = RequestId { this->self.instance, this->self.epoch, ++this->nextNumber };
+    request.bucket = bucket;
     request.confirmable = message.type == CoapType::Confirmable;
-    request.idempotent = properties.idempotent;
-    request.bucket = event.bucket;
     request.progress = std::make_unique<Progress>();
     Progress& progress = *request.progress;
     progress.message = message;
-    this->prepareObservation(key, progress, now);
-    progress.properties = properties;
-    progress.candidates = event.candidates;
-    progress.deputy = event.deputy;
+    progress.properties = classify(message, this->serviceOf(key.service), this->settings.longestDeadline);
     progress.startedAt = now;
-    progress.deadline = now + properties.deadline;
+    request.idempotent = progress.properties.idempotent;
     this->active.emplace(request.id.number, &item);
-    if (this->holdsLease(now))
-        this->begin(item, now);
+    return item;
 }
 
 void RequestOwner::begin(Item& item, TimePoint now)
--- a/src/zinnia/request/owner.hpp
+++ b/src/zinnia/request/owner.hpp
@@ -212,6 +212,8 @@
     [[nodiscard]] bool mayBeKnownElsewhere(const Item& item, TimePoint now) const;
     [[nodiscard]] Milliseconds possibleAge(const Progress& progress, TimePoint now) const;
     void beginFresh(Item& item, TimePoint now);
+    /** @brief Adds a request of which this entry is the owner. */
+    [[nodiscard]] Item& addOwn(const RequestKey& key, BucketIndex bucket, const CoapMessage& message, TimePoint now);
     void begin(Item& item, TimePoint now);
     void drop(Item& item);
     [[nodiscard]] const config::Service* serviceOf(ServiceId id) const;
@@ -245,6 +247,8 @@
     void advance(Item& item, TimePoint now);
     void forget(TimePoint now);
     void keep(Item& item, TimePoint now);
+    /** @brief Drops the kept answer, if there is one. */
+    void dropAnswer(Request& request);
     [[nodiscard]] bool makeRoom(TimePoint now);
     [[nodiscard]] RetryBudget& budgetOf(ServiceId service);
 
--- a/src/zinnia/request/owner_attempts.cpp
+++ b/src/zinnia/request/owner_attempts.cpp
@@ -236,21 +236,26 @@
         this->answerOrder.pop_front();
         if (oldest == this->requests.end() || !oldest->second.answer)
             continue;
-        this->keptBytes -= oldest->second.answer->payload.size();
-        oldest->second.answer.reset();
+        this->dropAnswer(oldest->second);
         // An idempotent request may run again; for another, the retransmission gets "unknown".
         if (oldest->second.idempotent && oldest->second.stage == Stage::Ended)
             this->requests.erase(oldest);
     }
 }
 
+void RequestOwner::dropAnswer(Request& request)
+{
+    if (request.answer)
+        this->keptBytes -= std::min(this->keptBytes, request.answer->payload.size());
+    request.answer.reset();
+}
+
 void RequestOwner::forget(TimePoint now)
 {
     while (!this->expiry.empty() && now >= this->expiry.front().first) {
         const auto found = this->requests.find(this->expiry.front().second);
         if (found != this->requests.end() && !found->second.progress && now >= found->second.expires) {
-            if (found->second.answer)
-                this->keptBytes -= std::min(this->keptBytes, found->second.answer->payload.size());
+            this->dropAnswer(found->second);
             this->requests.erase(found);
         }
         this->expiry.pop_front();
--- a/src/zinnia/request/owner_observations.cpp
+++ b/src/zinnia/request/owner_observations.cpp
@@ -127,30 +127,21 @@
         if (known->second.progress)
             return;
         // This entry has handed the observation over before, and gets it back.
-        if (known->second.answer)
-            this->keptBytes -= std::min(this->keptBytes, known->second.answer->payload.size());
+        this->dropAnswer(known->second);
         this->requests.erase(known);
     }
     if (!this->makeRoom(now))
         return;
-    Item& item = *this->requests.try_emplace(record.key).first;
+    Item& item = this->addOwn(record.key, record.bucket, record.message, now);
     Request& request = item.second;
-    request.id = RequestId { this->self.instance, this->self.epoch, ++this->nextNumber };
-    request.bucket = record.bucket;
     request.idempotent = true;
-    request.confirmable = record.message.type == CoapType::Confirmable;
     request.emptyAcknowledged = true; // The caller has had its first answer from the earlier owner.
-    request.progress = std::make_unique<Progress>();
     Progress& progress = *request.progress;
-    progress.message = record.message;
-    progress.properties = classify(record.message, this->serviceOf(record.key.service), this->settings.longestDeadline);
     progress.candidates = record.candidates;
     progress.deputy = this->deputyOf({ record.key.service, record.bucket });
     progress.observe = true;
     progress.observeSequence = nextObserveValue(record.observeSequence, this->settings.observationStep);
-    progress.startedAt = now;
     progress.confirmedAt = now;
-    this->active.emplace(request.id.number, &item);
     this->registerAgain(item, now);
 }
 
