--- a/src/zinnia/routing/flow_router_choice.cpp
+++ b/src/zinnia/routing/flow_router_choice.cpp
@@ -12,6 +12,12 @@
     /** Weight of the past in running means. */
     constexpr std::int64_t smoothing = 8;
 
+    /** @brief Takes a duration into a running mean; the first one is the mean. */
+    void takeIntoMean(Microseconds& mean, Microseconds duration)
+    {
+        mean += mean == Microseconds { 0 } ? duration : (duration - mean) / smoothing;
+    }
+
 } // namespace
 
 void FlowRouter::noteOpening(Upstream& upstream, const Endpoint& caller, TimePoint now)
@@ -23,25 +29,18 @@
         ++upstream.failedTries;
         upstream.unansweredSince = now;
     }
-    auto& openings = upstream.unanswered;
-    const bool isNew = std::none_of(openings.begin(), openings.end(),
-        [&](const UnansweredOpening& opening) { return opening.caller == caller.address; });
-    if (isNew && openings.size() < this->settings.unansweredCallers)
-        openings.push_back({ caller.address, now });
+    auto& callers = upstream.unansweredCallers;
+    const bool isNew = std::find(callers.begin(), callers.end(), caller.address) == callers.end();
+    if (isNew && callers.size() < this->settings.unansweredCallers)
+        callers.push_back(caller.address);
 }
 
-void FlowRouter::noteAnswer(Microseconds duration)
-{
-    this->usualAnswer
-        += this->usualAnswer == Microseconds { 0 } ? duration : (duration - this->usualAnswer) / smoothing;
-}
+void FlowRouter::noteAnswer(Microseconds duration) { takeIntoMean(this->usualAnswer, duration); }
 
 void FlowRouter::noteHandshake(Microseconds duration)
 {
-    if (duration > this->settings.longestHandshake)
-        return;
-    this->usualHandshake
-        += this->usualHandshake == Microseconds { 0 } ? duration : (duration - this->usualHandshake) / smoothing;
+    if (duration <= this->settings.longestHandshake)
+        takeIntoMean(this->usualHandshake, duration);
 }
 
 Microseconds FlowRouter::handshakeTimeout() const
@@ -71,7 +70,7 @@
     // When the platform changes the set of routers, the rest of some handshakes passes another one. Such openings look
     // unanswered, so a later try has to stay without an answer too.
     return upstream.failedTries >= this->settings.failedTries
-        && upstream.unanswered.size() >= this->settings.unansweredCallers && upstream.unansweredSince
+        && upstream.unansweredCallers.size() >= this->settings.unansweredCallers && upstream.unansweredSince
         && now - *upstream.unansweredSince > this->handshakeTimeout();
 }
 
--- a/src/zinnia/routing/upstream_directory.cpp
+++ b/src/zinnia/routing/upstream_directory.cpp
@@ -14,7 +14,7 @@
 void Upstream::forgive()
 {
     this->unansweredSince.reset();
-    this->unanswered.clear();
+    this->unansweredCallers.clear();
     this->failedTries = 0;
     this->checkedAt.reset();
     this->failedChecks = 0;
--- a/src/zinnia/routing/upstream_directory.hpp
+++ b/src/zinnia/routing/upstream_directory.hpp
@@ -12,13 +12,6 @@
 
 namespace zinnia::routing {
 
-/** @brief An opening to an upstream that has answered nobody since. */
-struct UnansweredOpening {
-    /** Address of the caller. */
-    std::uint32_t caller {};
-    TimePoint sentAt;
-};
-
 /** @brief One incarnation of an upstream, as a router knows it. */
 struct Upstream {
     upstream::Announcement announced;
@@ -39,8 +32,8 @@
     std::uint32_t stalledFlows {};
     /** When it was last tried with an opening while none was answered; nothing after an answer. */
     std::optional<TimePoint> unansweredSince;
-    /** The first openings, each of another caller, that were sent to it without any answer since. */
-    std::vector<UnansweredOpening> unanswered;
+    /** Addresses of the first callers whose openings were sent to it without any answer since. */
+    std::vector<std::uint32_t> unansweredCallers;
     /** Times in a row that it was tried again without an answer. */
     std::uint32_t failedTries {};
     /** Its flows were reset, as it answers nobody. */
