runtime: one metrics listener, one mapping of socket errors, one way to send a reset

The router and the control instance each set up the same listener, and the HTTP listener mapped errno values as the UDP socket does. No change of behaviour.

--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -1,6 +1,7 @@
 #include "zinnia/runtime/fleet_process.hpp"
 
 #include "zinnia/runtime/logger.hpp"
+#include "zinnia/runtime/metrics_listener.hpp"
 
 #include <algorithm>
 
@@ -91,11 +92,8 @@
         return FleetError::HttpAddress;
     this->http = std::move(listener.value());
     if (this->settings.member.ports.metrics != 0) {
-        auto metricsListener = HttpListener::create(*this->loop,
-            { .address = { this->settings.member.address, this->settings.member.ports.metrics }, .connections = 8 },
-            [this](const HttpRequest&, const HttpResponder& respond) {
-                respond(HttpResponse::text(http_status::ok, this->metrics.prometheusText()));
-            });
+        auto metricsListener = listenForMetrics(
+            *this->loop, { this->settings.member.address, this->settings.member.ports.metrics }, this->metrics);
         if (!metricsListener)
             return FleetError::MetricsAddress;
         this->metricsServer = std::move(metricsListener.value());
--- a/src/zinnia/runtime/http_listener.cpp
+++ b/src/zinnia/runtime/http_listener.cpp
@@ -25,15 +25,6 @@
     constexpr Milliseconds sweepInterval { 1000 };
     constexpr std::string_view headerEnd = "\r\n\r\n";
 
-    SocketError errorOfNumber(int number) noexcept
-    {
-        if (number == EADDRINUSE)
-            return SocketError::AddressInUse;
-        if (number == EADDRNOTAVAIL)
-            return SocketError::AddressNotAvailable;
-        return number == EMFILE || number == ENFILE ? SocketError::TooManyOpenFiles : SocketError::Other;
-    }
-
     std::string textOf(const HttpResponse& response, bool keepAlive)
     {
         net::HTTPResponse head { net::HTTPMessage::HTTP_1_1,
@@ -98,13 +89,13 @@
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0)
-        return errorOfNumber(errno);
+        return socketErrorOf(errno);
     const int on = 1;
     (void)setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const sockaddr_in address = internal::socketAddressOf(settings.address);
     if (bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0
         || listen(descriptor, backlog) != 0) {
-        const SocketError error = errorOfNumber(errno);
+        const SocketError error = socketErrorOf(errno);
         ::close(descriptor);
         return error;
     }
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -1,6 +1,7 @@
 #include "zinnia/runtime/router_process.hpp"
 
 #include "zinnia/runtime/logger.hpp"
+#include "zinnia/runtime/metrics_listener.hpp"
 
 namespace zinnia::runtime {
 
@@ -110,10 +111,7 @@
     this->readiness = std::move(listener.value());
     if (this->settings.member.ports.metrics != 0) {
         const Endpoint address { this->settings.member.address, this->settings.member.ports.metrics };
-        auto metricsListener = HttpListener::create(*this->loop, { .address = address, .connections = 8 },
-            [this](const HttpRequest&, const HttpResponder& respond) {
-                respond(HttpResponse::text(http_status::ok, this->metrics.prometheusText()));
-            });
+        auto metricsListener = listenForMetrics(*this->loop, address, this->metrics);
         if (!metricsListener)
             return RouterError { "ports.metrics", address, metricsListener.error() };
         this->metricsServer = std::move(metricsListener.value());
@@ -147,6 +145,13 @@
     this->sender.flush();
 }
 
+void RouterProcess::sendReset(const routing::FlowPacket& packet)
+{
+    const auto head = this->format->reset(packet);
+    this->sender.add(this->packets->descriptor(), Endpoint { packet.caller.address, this->settings.packets.port },
+        BytesView { head.bytes.data(), head.size }, {});
+}
+
 void RouterProcess::sendResets()
 {
     for (const auto& reset : this->router.takeResets()) {
@@ -154,9 +159,7 @@
         packet.caller = reset.caller;
         packet.service = reset.service;
         packet.acknowledged = reset.acknowledged;
-        const auto head = this->format->reset(packet);
-        this->sender.add(this->packets->descriptor(), Endpoint { reset.caller.address, this->settings.packets.port },
-            BytesView { head.bytes.data(), head.size }, {});
+        this->sendReset(packet);
         this->deadResets->add();
         log(Event::FlowReset, Field { "caller", reset.caller }, Field { "service", reset.service },
             Field { "reason", routing::RoutingReason::UpstreamDead }, Field { "upstream", reset.upstream });
@@ -175,16 +178,13 @@
     this->reasonCounters[static_cast<std::size_t>(decision.reason)]->add();
     if (packet->opens)
         this->openings->add();
-    const int descriptor = this->packets->descriptor();
     if (decision.action == routing::PacketAction::Forward) {
         const auto& upstream = *decision.upstream;
         const auto head = this->format->forwardHead(bytes, upstream.announced.number, upstream.token);
-        this->sender.add(descriptor, upstream.announced.address, BytesView { head.bytes.data(), head.size },
-            bytes.subspan(head.replaced));
+        this->sender.add(this->packets->descriptor(), upstream.announced.address,
+            BytesView { head.bytes.data(), head.size }, bytes.subspan(head.replaced));
     } else if (decision.action == routing::PacketAction::Reset) {
-        const auto head = this->format->reset(*packet);
-        this->sender.add(descriptor, Endpoint { packet->caller.address, this->settings.packets.port },
-            BytesView { head.bytes.data(), head.size }, {});
+        this->sendReset(*packet);
     }
     if (decision.action == routing::PacketAction::Hold) {
         if (this->held.size() < heldPackets)
@@ -284,12 +284,12 @@
         event = Event::TokenUnknown;
     else if (packet.opens)
         event = Event::FlowRefused;
-    const auto number = decision.upstream != nullptr ? decision.upstream->announced.number.value : 0;
+    static const routing::Upstream none;
+    const routing::Upstream& upstream = decision.upstream != nullptr ? *decision.upstream : none;
     log(event, Field { "caller", packet.caller }, Field { "service", packet.service },
-        Field { "reason", decision.reason }, Field { "token", packet.token }, Field { "upstream", number },
-        Field { "flows", decision.upstream != nullptr ? decision.upstream->flows : 0 },
-        Field { "requests", decision.upstream != nullptr ? decision.upstream->requests : 0 },
-        Field { "revision", this->router.state().revision });
+        Field { "reason", decision.reason }, Field { "token", packet.token },
+        Field { "upstream", upstream.announced.number }, Field { "flows", upstream.flows },
+        Field { "requests", upstream.requests }, Field { "revision", this->router.state().revision });
 }
 
 void RouterProcess::receiveFeed(const wire::OpenedMessage& message)
--- a/src/zinnia/runtime/router_process.hpp
+++ b/src/zinnia/runtime/router_process.hpp
@@ -56,6 +56,7 @@
     void receivePackets();
     void handle(BytesView bytes, TimePoint since);
     void handleHeld();
+    void sendReset(const routing::FlowPacket& packet);
     void sendResets();
     void logNotes();
     void startChecks();
--- a/src/zinnia/runtime/udp_socket.cpp
+++ b/src/zinnia/runtime/udp_socket.cpp
@@ -6,24 +6,20 @@
 
 namespace zinnia::runtime {
 
-namespace {
-
-    SocketError errorOf(int code)
-    {
-        switch (code) {
-        case EADDRINUSE:
-            return SocketError::AddressInUse;
-        case EADDRNOTAVAIL:
-            return SocketError::AddressNotAvailable;
-        case EMFILE:
-        case ENFILE:
-            return SocketError::TooManyOpenFiles;
-        default:
-            return SocketError::Other;
-        }
+SocketError socketErrorOf(int number) noexcept
+{
+    switch (number) {
+    case EADDRINUSE:
+        return SocketError::AddressInUse;
+    case EADDRNOTAVAIL:
+        return SocketError::AddressNotAvailable;
+    case EMFILE:
+    case ENFILE:
+        return SocketError::TooManyOpenFiles;
+    default:
+        return SocketError::Other;
     }
-
-} // namespace
+}
 
 Result<UdpSocket, SocketError> UdpSocket::bind(const Endpoint& local, int bufferBytes)
 {
@@ -36,9 +32,9 @@
         opened.socket.setSendBufferSize(bufferBytes);
         return opened;
     } catch (const Poco::Net::NetException& error) {
-        return errorOf(error.code());
+        return socketErrorOf(error.code());
     } catch (const Poco::IOException& error) {
-        return errorOf(error.code());
+        return socketErrorOf(error.code());
     }
 }
 
--- a/src/zinnia/runtime/udp_socket.hpp
+++ b/src/zinnia/runtime/udp_socket.hpp
@@ -21,6 +21,9 @@
 
 [[nodiscard]] constexpr std::string_view nameOf(SocketError error) noexcept { return nameIn(socketErrorNames, error); }
 
+/** @param number A value of `errno`. */
+[[nodiscard]] SocketError socketErrorOf(int number) noexcept;
+
 /** @brief A bound, non-blocking UDP socket over IPv4. Copies share the socket. */
 class UdpSocket {
 public:
