config: read uploads as a class of requests of their own

Change: RequestClass::Upload, appended to the classes because their numbers are part of the log format. An upload is not idempotent. A type that is not known is still refused: what may be repeated must not be guessed. Test: CallCodec.ReadsEveryTypeOfRoute; it fails without the change.

--- a/src/zinnia/config/route_table.hpp
+++ b/src/zinnia/config/route_table.hpp
@@ -12,13 +12,18 @@
 
 namespace zinnia::config {
 
-/** @brief Class of a route's requests; decides what may be retried. */
-enum class RequestClass : std::uint8_t { Idempotent, NonIdempotent, Download };
-
-inline constexpr NameTable<RequestClass, 3> requestClassNames { {
+/**
+ * @brief Class of a route's requests; decides what may be retried.
+ *
+ * The numbers are part of the log format. `Upload` sends large bodies to the upstream and is not idempotent.
+ */
+enum class RequestClass : std::uint8_t { Idempotent, NonIdempotent, Download, Upload };
+
+inline constexpr NameTable<RequestClass, 4> requestClassNames { {
     { RequestClass::Idempotent, "idempotent" },
     { RequestClass::NonIdempotent, "non_idempotent" },
     { RequestClass::Download, "download" },
+    { RequestClass::Upload, "upload" },
 } };
 static_assert(isDense(requestClassNames));
 
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -148,6 +148,23 @@
         EXPECT_TRUE(config::validate(table));
     }
 
+    // Guards against a configuration refused as a whole because one of its routes carries uploads.
+    TEST(CallCodec, ReadsEveryTypeOfRoute)
+    {
+        const auto classOf = [](const std::string& type) -> std::optional<config::RequestClass> {
+            std::string changed = sampleRoutes;
+            const std::string original = "\"type\":\"unsafe\"";
+            changed.replace(changed.find(original), original.size(), "\"type\":\"" + type + "\"");
+            const auto result = readRoutes(changed);
+            return result ? std::optional { result.value().table.routes[1].requestClass } : std::nullopt;
+        };
+        EXPECT_EQ(classOf("safe"), config::RequestClass::Idempotent);
+        EXPECT_EQ(classOf("unsafe"), config::RequestClass::NonIdempotent);
+        EXPECT_EQ(classOf("download"), config::RequestClass::Download);
+        EXPECT_EQ(classOf("upload"), config::RequestClass::Upload);
+        EXPECT_EQ(classOf("stream"), std::nullopt);
+    }
+
     // Guards against accepting a truncated configuration or one with fields of the wrong type.
     TEST(CallCodec, RefusesTruncatedAndMistypedConfigurations)
     {
