upstream: a draining upstream that stops its announcements stays draining

The logs show two upstreams of a service draining and the zone of the third withdrawn. Draining upstreams of the soak announce nothing more, so the control instances reported them as silent after 1.8 s, and a silent upstream gets flows if no other is left. Change: only a ready upstream turns silent; a draining one without announcements is gone after the retention (60 s, the maximum lifetime of a flow). Routers ignore a report of silence about a draining upstream, also from an older process.

--- a/src/zinnia/routing/upstream_directory.cpp
+++ b/src/zinnia/routing/upstream_directory.cpp
@@ -37,7 +37,7 @@
         const auto [found, isNew] = this->upstreams.try_emplace(token);
         Upstream& entry = found->second;
         const auto& known = entry.announcement;
-        if (!isNew && announcement.version < known.version)
+        if (!isNew && (announcement.version < known.version || upstream::keepsDraining(known, announcement)))
             continue;
         // The `Silent` state is inferred and has the same version as the last announcement of the upstream.
         const bool isSameVersion = !isNew && announcement.version == known.version;
--- a/src/zinnia/upstream/announcement.hpp
+++ b/src/zinnia/upstream/announcement.hpp
@@ -71,4 +71,14 @@
     [[nodiscard]] friend bool operator==(const Announcement&, const Announcement&) = default;
 };
 
+/**
+ * @return True if `next` reports silence of an upstream that has announced to drain since the same start. Such a report
+ *         is ignored: a silent upstream may get new flows, a draining one must not.
+ */
+[[nodiscard]] inline bool keepsDraining(const Announcement& current, const Announcement& next)
+{
+    return current.state == AnnouncedState::Draining && next.state == AnnouncedState::Silent
+        && current.version.startedAt == next.version.startedAt;
+}
+
 } // namespace zinnia::upstream
--- a/src/zinnia/upstream/announcement_table.cpp
+++ b/src/zinnia/upstream/announcement_table.cpp
@@ -30,10 +30,12 @@
 {
     const auto [found, isNew] = this->entries.try_emplace(announcement.number);
     Entry& entry = found->second;
+    if (!isNew && keepsDraining(entry.announcement, announcement))
+        return MergeResult::Stale;
     if (!isNew && announcement.version <= entry.announcement.version) {
         // A report that an upstream is silent has the version of the last announcement of the upstream.
         const bool marksSilent = announcement.state == AnnouncedState::Silent
-            && entry.announcement.state != AnnouncedState::Silent && announcement.version == entry.announcement.version;
+            && entry.announcement.state == AnnouncedState::Ready && announcement.version == entry.announcement.version;
         if (!marksSilent)
             return MergeResult::Stale;
     }
@@ -67,9 +69,15 @@
 {
     std::vector<UpstreamNumber> silent;
     for (auto& [number, entry] : this->entries) {
-        const AnnouncedState state = entry.announcement.state;
-        const bool isLive = state == AnnouncedState::Ready || state == AnnouncedState::Draining;
-        if (!canDetectSilence || !isLive || now - entry.announcedAt < this->settings.lease)
+        if (!canDetectSilence)
+            break;
+        if (entry.announcement.state == AnnouncedState::Draining
+            && now - entry.announcedAt > this->settings.retention) {
+            (void)this->recordDeparture(number, now);
+            continue;
+        }
+        // A draining upstream may stop its announcements; as a silent one it would get new flows if no other is left.
+        if (entry.announcement.state != AnnouncedState::Ready || now - entry.announcedAt < this->settings.lease)
             continue;
         entry.announcement.state = AnnouncedState::Silent;
         entry.receivedFrom = InstanceId {};
--- a/test/platform/soak/soak.py
+++ b/test/platform/soak/soak.py
@@ -32,6 +32,7 @@
         self.random = cluster.random
         self.checks = cluster.checks
         self.last_wipe = 0.0
+        self.withdrawing = False  # one operator at a time withdraws a zone, until its return is acknowledged
 
     def all(self):
         return [getattr(self, name) for name in sorted(dir(self)) if name.startswith("fault_")]
@@ -164,8 +165,10 @@
 
     async def fault_withdraw_zone(self):
         zone = self.random.choice(ZONES)
-        if self.checks.withdrawn:
+        # A withdrawal that overtakes the resent return of the one before it would be revoked by that return.
+        if self.withdrawing:
             return
+        self.withdrawing = True
         path = f"/zinniamount/evacuate/{zone}"
         if await self.cluster.operator_call("POST", path):
             self.checks.withdrawn[zone] = time.monotonic()
@@ -173,6 +176,7 @@
         self.checks.withdrawn.pop(zone, None)
         while not await self.cluster.operator_call("DELETE", path):
             await asyncio.sleep(0.5)
+        self.withdrawing = False
 
 
 async def run_seed(seed, seconds, folder, programs, network):
--- a/test/zinnia/routing/flow_router_test.cpp
+++ b/test/zinnia/routing/flow_router_test.cpp
@@ -403,6 +403,20 @@
         EXPECT_EQ(fixture.send(Fixture::openingOf(2)).action, PacketAction::Forward);
     }
 
+    // A zone is withdrawn while the upstreams of the others drain and have stopped their announcements. Guards against
+    // flows that are opened at a leaving upstream (soak seed 903).
+    TEST(FlowRouter, RefusesRatherThanUseADrainingUpstreamThatIsReportedSilent)
+    {
+        Fixture fixture { { makeAnnouncement(1, "logger", "a"), makeAnnouncement(2, "logger", "b") } };
+        (void)fixture.router.merge({ makeAnnouncement(2, "logger", "b", AnnouncedState::Draining, 5) }, fixture.now);
+        (void)fixture.router.merge({ makeAnnouncement(2, "logger", "b", AnnouncedState::Silent, 5) }, fixture.now);
+        (void)fixture.router.merge({ makeAnnouncement(2, "logger", "b", AnnouncedState::Silent, 6) }, fixture.now);
+        (void)fixture.router.adopt(stateOf(2, { "a" }), fixture.now);
+        const auto decision = fixture.send(Fixture::openingOf(1));
+        EXPECT_EQ(decision.action, PacketAction::Reset);
+        EXPECT_EQ(decision.reason, RoutingReason::NoUpstream);
+    }
+
     /** @brief Sends a request and its first retransmission 200 ms later. @return The decision on the latter. */
     RoutingDecision sendAndRetransmit(Fixture& fixture, std::uint16_t port, RoutingToken token)
     {
--- a/test/zinnia/upstream/announcement_table_test.cpp
+++ b/test/zinnia/upstream/announcement_table_test.cpp
@@ -54,6 +54,26 @@
         EXPECT_EQ(table.merge(announcementOf(5, 2, AnnouncedState::Ready), {}, later), MergeResult::Changed);
     }
 
+    // Guards against new flows at a draining upstream that has stopped its announcements: silent upstreams get flows if
+    // no other is left (soak seed 903).
+    TEST(AnnouncementTable, ADrainingUpstreamNeverTurnsSilent)
+    {
+        AnnouncementTable table { { .lease = Milliseconds { 4000 }, .retention = Milliseconds { 60000 } } };
+        (void)table.merge(announcementOf(5, 2, AnnouncedState::Draining), {}, start);
+        EXPECT_TRUE(table.expire(true, start + Seconds { 5 }).empty());
+        EXPECT_EQ(table.find(upstreamNumber)->state, AnnouncedState::Draining);
+        EXPECT_EQ(table.merge(announcementOf(5, 2, AnnouncedState::Silent), {}, start), MergeResult::Stale);
+        EXPECT_EQ(table.merge(announcementOf(5, 3, AnnouncedState::Silent), {}, start), MergeResult::Stale);
+        EXPECT_EQ(table.find(upstreamNumber)->state, AnnouncedState::Draining);
+        // It is gone once its flows cannot be open any more, and forgotten after another retention time.
+        const std::uint64_t changeBefore = table.lastChange();
+        EXPECT_TRUE(table.expire(true, start + Seconds { 61 }).empty());
+        EXPECT_EQ(table.find(upstreamNumber)->state, AnnouncedState::Gone);
+        EXPECT_GT(table.lastChange(), changeBefore);
+        (void)table.expire(true, start + Seconds { 122 });
+        EXPECT_EQ(table.find(upstreamNumber), nullptr);
+    }
+
     // Guards against changes that are lost for a reader that asks in pages, and against renewals that count as changes.
     TEST(AnnouncementTable, ReturnsChangesInPagesWithoutRenewals)
     {
