routing: queue packets in the router and pace them to the rate of its link

Everything a router sent waited in the one queue of its link: openings, health checks and polls of control instances behind upload data. Traces: 64 KB handed to the link within 50 ms, which takes it 256 ms; callers retransmit after 200 ms, so the same packets went out twice; routers then took the late answers for dead upstreams and reset their flows. Change: LinkPacer keeps the queue of the link under 10 ms, EgressQueue orders what waits: the first two packets of a flow after a pause, then the oldest upload. A retransmission of a waiting packet takes its place. Packets are routed when they leave the queue, so its delay does not count against an upstream. The rate comes from the settings (link.mbit_per_s); without it nothing waits.

--- a/src/zinnia/routing/flow_router.cpp
+++ b/src/zinnia/routing/flow_router.cpp
@@ -1,7 +1,5 @@
 #include "zinnia/routing/flow_router.hpp"
 
-#include "zinnia/core/hash.hpp"
-
 #include <algorithm>
 #include <utility>
 
@@ -30,11 +28,6 @@
 
 } // namespace
 
-std::size_t FlowRouter::FlowIdHash::operator()(const FlowId& id) const noexcept
-{
-    return hashOf(0, id.caller.address, id.caller.port, id.service.address, id.service.port);
-}
-
 FlowRouter::FlowRouter(const FlowRouterSettings& settings)
     : settings { settings }
     , random { settings.seed }
--- a/src/zinnia/routing/flow_router.hpp
+++ b/src/zinnia/routing/flow_router.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "zinnia/feed/messages.hpp"
+#include "zinnia/routing/flow_id.hpp"
 #include "zinnia/routing/flow_packet.hpp"
 #include "zinnia/routing/routing_decision.hpp"
 #include "zinnia/routing/upstream_directory.hpp"
@@ -161,16 +162,6 @@
     [[nodiscard]] std::size_t flowCount() const noexcept { return this->flows.size(); }
 
 private:
-    struct FlowId {
-        Endpoint caller;
-        Endpoint service;
-        [[nodiscard]] friend bool operator==(const FlowId&, const FlowId&) = default;
-    };
-
-    struct FlowIdHash {
-        [[nodiscard]] std::size_t operator()(const FlowId& id) const noexcept;
-    };
-
     struct Flow {
         /** Token of the upstream that serves the flow; 0 once the flow has ended. */
         RoutingToken token;
--- a/src/zinnia/routing/fwd.hpp
+++ b/src/zinnia/routing/fwd.hpp
@@ -2,9 +2,12 @@
 
 namespace zinnia::routing {
 
+struct FlowId;
 struct FlowPacket;
 struct Upstream;
 class UpstreamDirectory;
 class FlowRouter;
+class EgressQueue;
+class LinkPacer;
 
 } // namespace zinnia::routing
--- a/src/zinnia/runtime/fleet_link.cpp
+++ b/src/zinnia/runtime/fleet_link.cpp
@@ -39,11 +39,12 @@
     }
 }
 
-void FleetLink::sendBytes(const Endpoint& to, wire::MessageKind kind, BytesView body)
+std::size_t FleetLink::sendBytes(const Endpoint& to, wire::MessageKind kind, BytesView body)
 {
     const Bytes sealed = this->sealer->seal(kind, body);
     this->sender.add(this->socket.descriptor(), to, sealed, {});
     this->sender.flush();
+    return sealed.size();
 }
 
 } // namespace zinnia::runtime
--- a/src/zinnia/runtime/fleet_link.hpp
+++ b/src/zinnia/runtime/fleet_link.hpp
@@ -26,10 +26,13 @@
     FleetLink(const FleetLink&) = delete;
     FleetLink& operator=(const FleetLink&) = delete;
 
-    /** @brief Sends to the feed port of an instance, without a delivery guarantee. */
-    template <class Message> void send(InstanceId to, wire::MessageKind kind, const Message& message)
+    /**
+     * @brief Sends to the feed port of an instance, without a delivery guarantee.
+     * @return Size of the datagram. Unit: bytes.
+     */
+    template <class Message> std::size_t send(InstanceId to, wire::MessageKind kind, const Message& message)
     {
-        this->sendBytes(
+        return this->sendBytes(
             Endpoint { this->member->addressOf(to), this->member->ports.feed }, kind, wire::encode(message));
     }
     template <class Message> void reply(const Endpoint& to, wire::MessageKind kind, const Message& message)
@@ -41,7 +44,7 @@
     FleetLink(Poller& poller, const FleetMember& member, UdpSocket socket, const ClusterSettings& cluster,
         wire::Sealer& sealer, Handler handler);
     void receive();
-    void sendBytes(const Endpoint& to, wire::MessageKind kind, BytesView body);
+    std::size_t sendBytes(const Endpoint& to, wire::MessageKind kind, BytesView body);
 
     Poller* poller;
     UdpSocket socket;
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -3,6 +3,9 @@
 #include "zinnia/runtime/logger.hpp"
 #include "zinnia/runtime/metrics_listener.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace zinnia::runtime {
 
 namespace {
@@ -24,6 +27,14 @@
     /** Batches read per loop iteration, so that load does not delay timers and calls. */
     constexpr int maxBatchesPerTurn = 4;
 
+    /** Share of the link's rate used by the packets of flows; the rest is left to connections and their headers. */
+    constexpr double packetShareOfLink = 0.95;
+    /** Transmission time of the link that fills the egress queue; callers give up before packets wait longer. */
+    constexpr Seconds maxEgressWait { 4 };
+    /** Bounds of the size of the egress queue. Unit: bytes. */
+    constexpr std::size_t minEgressQueueBytes = 256 << 10;
+    constexpr std::size_t maxEgressQueueBytes = 4 << 20;
+
     /** @brief Result of a health check. */
     enum class CheckResult : std::uint8_t { Connected, Failed, NotStarted };
 
@@ -42,6 +53,20 @@
         return router;
     }
 
+    /** @return The rate at which packets of flows may be sent; 0 if it is not limited. Unit: bytes per second. */
+    std::uint64_t packetRateOf(const RouterSettings& settings)
+    {
+        return static_cast<std::uint64_t>(static_cast<double>(settings.linkBitsPerSecond) / 8 * packetShareOfLink);
+    }
+
+    routing::EgressQueueSettings egressSettingsOf(const RouterSettings& settings)
+    {
+        routing::EgressQueueSettings egress;
+        const auto wanted = static_cast<std::size_t>(packetRateOf(settings) * maxEgressWait.count());
+        egress.maxBytes = std::clamp(wanted, minEgressQueueBytes, maxEgressQueueBytes);
+        return egress;
+    }
+
     feed::FeedClientSettings feedSettingsOf(const RouterSettings& settings)
     {
         feed::FeedClientSettings feed;
@@ -67,6 +92,8 @@
     , sealer { settings.cluster.key, settings.cluster.id, settings.instance, epoch }
     , router { routerSettingsOf(settings, epoch) }
     , feed { feedSettingsOf(settings), settings.member.seedIds() }
+    , linkPacer { packetRateOf(settings) }
+    , egressQueue { egressSettingsOf(settings) }
     , connections { loop }
 {
     for (const auto& row : routing::packetActionNames)
@@ -75,6 +102,12 @@
     for (const auto& row : routing::routingReasonNames)
         this->reasonCounters[static_cast<std::size_t>(row.value)]
             = &this->metrics.counter({ "zinnia_router_reasons_total", "reason", std::string { row.name } });
+    for (const auto& row : routing::packetKindNames)
+        this->egressDrops[static_cast<std::size_t>(row.value)]
+            = &this->metrics.counter({ "zinnia_router_egress_drops_total", "kind", std::string { row.name } });
+    this->egressQueued = &this->metrics.counter({ "zinnia_router_egress_queued_total" });
+    this->egressReplaced = &this->metrics.counter({ "zinnia_router_egress_replaced_total" });
+    this->egressWaits = &this->metrics.latency({ "zinnia_router_egress_wait_seconds" });
     this->malformed = &this->metrics.counter({ "zinnia_router_malformed_total" });
     this->deadResets = &this->metrics.counter({ "zinnia_router_dead_upstream_resets_total" });
     this->handshakes = &this->metrics.latency({ "zinnia_router_handshake_seconds" });
@@ -129,18 +162,53 @@
         if (datagrams.empty())
             break;
         for (const ReceivedDatagram& datagram : datagrams)
-            this->handle(datagram.bytes, this->loop->now());
+            this->accept(datagram.bytes);
+        this->drainEgressQueue();
         this->sender.flush();
     }
 }
 
+void RouterProcess::accept(BytesView bytes)
+{
+    const auto packet = this->format->parse(bytes);
+    if (!packet) {
+        this->malformed->add();
+        return;
+    }
+    const TimePoint now = this->loop->now();
+    // Packets are routed when they leave the queue, so that its delay does not look like that of an upstream.
+    if (!this->linkPacer.isLimited() || (this->egressQueue.isEmpty() && this->linkPacer.isFree(now)))
+        this->handle(bytes, *packet, now);
+    else if (this->egressQueue.add(*packet, bytes, now) == routing::EgressOutcome::Replaced)
+        this->egressReplaced->add();
+    else
+        this->egressQueued->add();
+}
+
+void RouterProcess::drainEgressQueue()
+{
+    const TimePoint now = this->loop->now();
+    while (!this->egressQueue.isEmpty() && this->linkPacer.isFree(now)) {
+        const auto next = this->egressQueue.take(now);
+        this->egressWaits->record(now - next->arrivedAt);
+        this->handle(next->bytes, next->packet, now);
+    }
+    if (this->egressQueue.isEmpty() || std::exchange(this->drainScheduled, true))
+        return;
+    this->loop->schedule(this->linkPacer.timeUntilRefill(now), [this] {
+        this->drainScheduled = false;
+        this->drainEgressQueue();
+        this->sender.flush();
+    });
+}
+
 void RouterProcess::handleHeldPackets()
 {
     if (this->heldQueue.empty())
         return;
     for (const HeldPacket& packet : std::exchange(this->heldQueue, {})) {
         if (this->loop->now() - packet.since < maxHoldTime)
-            this->handle(packet.bytes, packet.since);
+            this->handle(packet.bytes, packet.packet, packet.since);
     }
     this->sender.flush();
 }
@@ -150,6 +218,7 @@
     const auto head = this->format->reset(packet);
     this->sender.add(this->packets->descriptor(), Endpoint { packet.caller.address, this->settings.packets.port },
         BytesView { head.bytes.data(), head.size }, {});
+    this->linkPacer.recordSent(head.size, this->loop->now());
 }
 
 void RouterProcess::sendResets()
@@ -166,34 +235,32 @@
     }
 }
 
-void RouterProcess::handle(BytesView bytes, TimePoint since)
+void RouterProcess::handle(BytesView bytes, const routing::FlowPacket& packet, TimePoint since)
 {
-    const auto packet = this->format->parse(bytes);
-    if (!packet) {
-        this->malformed->add();
-        return;
-    }
-    const auto decision = this->router.route(*packet, this->loop->now());
+    const TimePoint now = this->loop->now();
+    const auto decision = this->router.route(packet, now);
     this->actionCounters[static_cast<std::size_t>(decision.action)]->add();
     this->reasonCounters[static_cast<std::size_t>(decision.reason)]->add();
-    if (packet->syn)
+    if (packet.syn)
         this->openings->add();
     if (decision.action == routing::PacketAction::Forward) {
         const auto& upstream = *decision.upstream;
         const auto head = this->format->forwardHead(bytes, upstream.announcement.number, upstream.token);
+        const BytesView rest = bytes.subspan(head.replaced);
         this->sender.add(this->packets->descriptor(), upstream.announcement.address,
-            BytesView { head.bytes.data(), head.size }, bytes.subspan(head.replaced));
+            BytesView { head.bytes.data(), head.size }, rest);
+        this->linkPacer.recordSent(head.size + rest.size(), now);
     } else if (decision.action == routing::PacketAction::Reset) {
-        this->sendReset(*packet);
+        this->sendReset(packet);
     }
     if (decision.action == routing::PacketAction::Hold) {
         if (this->heldQueue.size() < maxHeldPackets)
-            this->heldQueue.push_back({ Bytes { bytes.begin(), bytes.end() }, since });
+            this->heldQueue.push_back({ Bytes { bytes.begin(), bytes.end() }, packet, since });
         return;
     }
-    if (decision.reason != routing::RoutingReason::None || packet->syn)
-        this->report(*packet, decision);
-    this->observe(bytes, *packet, decision);
+    if (decision.reason != routing::RoutingReason::None || packet.syn)
+        this->report(packet, decision);
+    this->observe(bytes, packet, decision);
     this->sendResets();
     this->startHealthChecks();
     this->logHealthChanges();
@@ -225,7 +292,7 @@
             feed::FeedRequest report;
             report.suspicions = this->suspicions.current(this->loop->now());
             for (const InstanceId control : this->feed.selectedControls(this->loop->now()))
-                this->link->send(control, wire::MessageKind::FeedRequest, report);
+                this->sendToControl(control, report);
         });
 }
 
@@ -233,10 +300,16 @@
 {
     for (auto& request : requests) {
         request.request.suspicions = this->suspicions.current(this->loop->now());
-        this->link->send(request.control, wire::MessageKind::FeedRequest, request.request);
+        this->sendToControl(request.control, request.request);
     }
 }
 
+void RouterProcess::sendToControl(InstanceId control, const feed::FeedRequest& request)
+{
+    const std::size_t size = this->link->send(control, wire::MessageKind::FeedRequest, request);
+    this->linkPacer.recordSent(size, this->loop->now());
+}
+
 void RouterProcess::finishHealthCheck(routing::RoutingToken token, bool connected)
 {
     const auto result = connected ? CheckResult::Connected : CheckResult::Failed;
@@ -358,6 +431,7 @@
 {
     this->loop->schedule(expiryInterval, [this] { this->expireAndPublishGauges(); });
     this->router.expire(this->loop->now());
+    this->egressQueue.expire(this->loop->now());
     this->metrics.gauge({ "zinnia_router_flows" }).set(static_cast<double>(this->router.flowCount()));
     std::array<double, upstream::announcedStateNames.size()> states {};
     for (const auto& [token, known] : this->router.directory().all())
@@ -367,6 +441,11 @@
             .set(states[static_cast<std::size_t>(row.value)]);
     const auto age = std::chrono::duration<double> { this->loop->now() - this->feed.lastConfirmedAt() };
     this->metrics.gauge({ "zinnia_router_news_age_seconds" }).set(age.count());
+    for (std::size_t kind = 0; kind < this->countedDrops.size(); ++kind) {
+        const std::uint64_t dropped = this->egressQueue.dropped()[kind];
+        this->egressDrops[kind]->add(dropped - std::exchange(this->countedDrops[kind], dropped));
+    }
+    this->metrics.gauge({ "zinnia_router_egress_queue_bytes" }).set(static_cast<double>(this->egressQueue.size()));
     this->metrics.gauge({ "zinnia_router_revision" }).set(static_cast<double>(this->router.state().revision));
     this->metrics.gauge({ "zinnia_router_in_touch" }).set(this->hadLeaderContact ? 1 : 0);
 }
--- a/src/zinnia/runtime/router_process.hpp
+++ b/src/zinnia/runtime/router_process.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "zinnia/feed/feed_client.hpp"
+#include "zinnia/routing/egress_queue.hpp"
 #include "zinnia/routing/flow_router.hpp"
+#include "zinnia/routing/link_pacer.hpp"
 #include "zinnia/runtime/connection_check.hpp"
 #include "zinnia/runtime/datagram_batch.hpp"
 #include "zinnia/runtime/event_loop.hpp"
@@ -50,17 +52,23 @@
     /** @brief A packet held until the router has received routes and upstreams. */
     struct HeldPacket {
         Bytes bytes;
+        routing::FlowPacket packet;
         TimePoint since;
     };
 
     void receivePackets();
-    void handle(BytesView bytes, TimePoint since);
+    /** @brief Handles a received packet at once, or queues it until the outgoing link has room for it. */
+    void accept(BytesView bytes);
+    /** @brief Handles queued packets while the outgoing link has room, and schedules the next call. */
+    void drainEgressQueue();
+    void handle(BytesView bytes, const routing::FlowPacket& packet, TimePoint since);
     void handleHeldPackets();
     void sendReset(const routing::FlowPacket& packet);
     void sendResets();
     void logHealthChanges();
     void startHealthChecks();
     void reportUnreachable();
+    void sendToControl(InstanceId control, const feed::FeedRequest& request);
     void sendRequests(std::vector<feed::OutgoingRequest> requests);
     void finishHealthCheck(routing::RoutingToken token, bool connected);
     void observe(BytesView bytes, const routing::FlowPacket& packet, const routing::RoutingDecision& decision);
@@ -80,6 +88,9 @@
     feed::FeedClient feed;
     std::unique_ptr<UdpSocket> packets;
     std::vector<HeldPacket> heldQueue;
+    routing::LinkPacer linkPacer;
+    routing::EgressQueue egressQueue;
+    bool drainScheduled {};
     ConnectionCheck connections;
     /** Upstreams that this router's own health checks found unreachable. */
     upstream::SuspicionTable suspicions;
@@ -92,6 +103,12 @@
     std::array<Counter*, routing::packetActionNames.size()> actionCounters {};
     std::array<Counter*, routing::routingReasonNames.size()> reasonCounters {};
     std::array<Counter*, 3> checkResults {};
+    std::array<Counter*, routing::packetKindNames.size()> egressDrops {};
+    /** Drops already added to `egressDrops`. */
+    std::array<std::uint64_t, routing::packetKindNames.size()> countedDrops {};
+    Counter* egressQueued {};
+    Counter* egressReplaced {};
+    LatencyHistogram* egressWaits {};
     Counter* malformed {};
     Counter* openings {};
     LatencyHistogram* handshakes {};
--- a/src/zinnia/runtime/router_settings.cpp
+++ b/src/zinnia/runtime/router_settings.cpp
@@ -11,6 +11,9 @@
     TableReader listen = root.table("listen");
     settings.packets = listen.endpoint("packets");
     settings.readiness = listen.endpoint("readiness");
+    TableReader link = root.table("link", true);
+    settings.linkBitsPerSecond
+        = static_cast<std::uint64_t>(link.number("mbit_per_s", { 0, 1'000'000 }, 0.0) * 1'000'000);
     TableReader stop = root.table("stop", true);
     settings.stopDelay
         = stop.milliseconds("delay_ms", { Milliseconds { 0 }, Milliseconds { 60000 } }, settings.stopDelay);
--- a/src/zinnia/runtime/router_settings.hpp
+++ b/src/zinnia/runtime/router_settings.hpp
@@ -19,6 +19,8 @@
      * and sends no more packets after two failed checks; a longer delay makes planned stops of neighbours overlap.
      */
     Milliseconds stopDelay { 1200 };
+    /** Rate of the outgoing link of the instance; 0 for an unlimited one. Unit: bits per second. */
+    std::uint64_t linkBitsPerSecond {};
     LogSettings log;
 };
 
