runtime: look at the connection before a health check times out

Change: at the timeout the socket decides. Test: ConnectionCheckTest.APauseOfThisProcessIsNoFailure fails without the change, passes with it.

--- a/src/zinnia/runtime/connection_check.cpp
+++ b/src/zinnia/runtime/connection_check.cpp
@@ -3,12 +3,25 @@
 #include "zinnia/runtime/socket_address.hpp"
 
 #include <cerrno>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
 
 namespace zinnia::runtime {
 
+namespace {
+
+    /** @return True if the connection attempt of a socket that is ready for writing has succeeded. */
+    [[nodiscard]] bool isConnected(int fd)
+    {
+        int error = 0;
+        socklen_t size = sizeof(error);
+        return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+    }
+
+} // namespace
+
 ConnectionCheck::~ConnectionCheck()
 {
     for (const auto& [fd, check] : this->pending) {
@@ -30,12 +43,13 @@
     const bool isOpen = status == 0;
     const bool isRefused = !isOpen && (errno == ECONNREFUSED || errno == EHOSTUNREACH || errno == ENETUNREACH);
     const bool isInProgress = !isOpen && errno == EINPROGRESS;
-    if (isInProgress && this->poller->watch(fd, false, true, [this, fd](Readiness) {
-            int error = 0;
-            socklen_t size = sizeof(error);
-            this->finish(fd, getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0);
-        })) {
-        const TimerId timer = this->poller->schedule(timeout, [this, fd] { this->finish(fd, false); });
+    if (isInProgress
+        && this->poller->watch(fd, false, true, [this, fd](Readiness) { this->finish(fd, isConnected(fd)); })) {
+        const TimerId timer = this->poller->schedule(timeout, [this, fd] {
+            // Timers run before descriptors, so after a pause of this process the connection may be open already.
+            pollfd state { fd, POLLOUT, 0 };
+            this->finish(fd, poll(&state, 1, 0) == 1 && isConnected(fd));
+        });
         this->pending.emplace(fd, Pending { std::move(callback), timer });
         return true;
     }
--- a/test/zinnia/runtime/connection_check_test.cpp
+++ b/test/zinnia/runtime/connection_check_test.cpp
@@ -70,6 +70,22 @@
         close(full);
     }
 
+    // The process is paused during a check. Guards against a timeout that is due together with the open connection and
+    // counts as a failure, after which the router would reset the flows of a live upstream.
+    TEST_F(ConnectionCheckTest, APauseOfThisProcessIsNoFailure)
+    {
+        ManualClock pausedClock;
+        const auto pausedLoop = std::move(EventLoop::create(pausedClock)).value();
+        ConnectionCheck pausedChecks { *pausedLoop };
+        const int listening = this->bindSocket(8);
+        std::optional<bool> result;
+        EXPECT_TRUE(pausedChecks.check(this->bound, Milliseconds { 80 }, [&](bool connected) { result = connected; }));
+        pausedClock.advance(Seconds { 5 });
+        pausedLoop->runOnce(Milliseconds { 0 });
+        EXPECT_EQ(result, true);
+        close(listening);
+    }
+
     // Guards against unbounded use of descriptors when many upstreams do not answer at the same time.
     TEST_F(ConnectionCheckTest, RefusesMoreThanTheLimit)
     {
