routing: refuse uploads that the link of the router cannot carry in time

Change: UploadAdmission learns the size of each route's requests from answered ones. Tests: UploadAdmission.*, FlowRouter.RefusesUploadsAtOnceWhileTheLinkIsFull.

--- a/src/zinnia/routing/egress_queue.hpp
+++ b/src/zinnia/routing/egress_queue.hpp
@@ -94,6 +94,8 @@
     [[nodiscard]] bool isEmpty() const noexcept { return this->waitingBytes == 0; }
     /** @return Size of all waiting packets. Unit: bytes. */
     [[nodiscard]] std::size_t size() const noexcept { return this->waitingBytes; }
+    /** @return Number of flows with packets beyond their first turn, that is, of uploads that wait. */
+    [[nodiscard]] std::size_t uploadCount() const noexcept { return this->ranked.size(); }
     [[nodiscard]] std::size_t flowCount() const noexcept { return this->flows.size(); }
     /** @return Number of packets dropped since the start, by kind. */
     [[nodiscard]] const std::array<std::uint64_t, packetKindNames.size()>& dropped() const noexcept
--- a/src/zinnia/routing/flow_router.cpp
+++ b/src/zinnia/routing/flow_router.cpp
@@ -31,6 +31,7 @@
 FlowRouter::FlowRouter(const FlowRouterSettings& settings)
     : settings { settings }
     , random { settings.seed }
+    , uploads { settings.uploads }
 {
 }
 
@@ -48,6 +49,7 @@
     this->routeIndices.clear();
     for (std::size_t i = 0; i < state.routes.size(); ++i)
         this->routeIndices.emplace(state.routes[i].address, i);
+    this->uploads.retain([this](const Endpoint& route) { return this->routeIndices.contains(route); });
     return true;
 }
 
@@ -82,6 +84,8 @@
         else
             this->endFlow(tracked->second);
     }
+    if (previous == nullptr && !this->uploads.admits(packet.service, this->waitingUploads))
+        return { PacketAction::Reset, RoutingReason::LinkFull, nullptr };
     Upstream* chosen = this->chooseUpstream(this->current.routes[found->second], previous, now);
     if (chosen == nullptr && !this->synchronized)
         return { PacketAction::Hold, RoutingReason::NoState, nullptr };
@@ -200,7 +204,7 @@
         flow.acknowledged = packet.acknowledged;
         decision.handshakeTime = now - flow.firstSeenAt;
         this->recordHandshakeTime(*decision.handshakeTime);
-        this->recordAnswer(flow, upstream, now);
+        this->recordAnswer(flow, packet.service, upstream, now);
     } else if (isAfter(packet.acknowledged, flow.acknowledged)) {
         flow.acknowledged = packet.acknowledged;
         if (flow.awaitingAnswer) {
@@ -210,7 +214,7 @@
                 this->recordAnswerTime(*decision.answerTime);
             }
         }
-        this->recordAnswer(flow, upstream, now);
+        this->recordAnswer(flow, packet.service, upstream, now);
     }
     if (packet.rst || packet.fin) {
         this->endFlow(flow);
@@ -222,6 +226,7 @@
         flow.sequence = packet.sequence;
         flow.firstSeenAt = now;
         flow.retransmissions = 0;
+        flow.requestBytes = packet.dataBytes + (flow.awaitingAnswer ? flow.requestBytes : 0);
         if (!std::exchange(flow.awaitingAnswer, true)) {
             ++upstream.requests;
             decision.startsRequest = true;
@@ -236,7 +241,7 @@
     }
 }
 
-void FlowRouter::recordAnswer(Flow& flow, Upstream& upstream, TimePoint now)
+void FlowRouter::recordAnswer(Flow& flow, const Endpoint& route, Upstream& upstream, TimePoint now)
 {
     upstream.lastAnswerAt = now;
     const bool wasDead = upstream.dead;
@@ -244,8 +249,10 @@
     if (wasDead)
         this->healthChanges.push_back({ upstream.announcement.number, SuspicionCause::None, 0, {} });
     flow.retransmissions = 0;
-    if (std::exchange(flow.awaitingAnswer, false))
+    if (std::exchange(flow.awaitingAnswer, false)) {
         decrement(upstream.requests);
+        this->uploads.recordRequest(route, flow.requestBytes);
+    }
     if (upstream.stalledFlows > 0) {
         upstream.stalledFlows = 0;
         for (auto& [id, other] : this->flows) {
--- a/src/zinnia/routing/flow_router.hpp
+++ b/src/zinnia/routing/flow_router.hpp
@@ -4,6 +4,7 @@
 #include "zinnia/routing/flow_id.hpp"
 #include "zinnia/routing/flow_packet.hpp"
 #include "zinnia/routing/routing_decision.hpp"
+#include "zinnia/routing/upload_admission.hpp"
 #include "zinnia/routing/upstream_directory.hpp"
 
 #include <array>
@@ -90,6 +91,8 @@
      * upstreams are cold.
      */
     Milliseconds zoneReturnDelay { 2000 };
+    /** Limits of uploads by the outgoing link. */
+    UploadAdmissionSettings uploads {};
 };
 
 /**
@@ -115,6 +118,8 @@
     void setSynchronized() noexcept { this->synchronized = true; }
     /** @return How to handle a packet that has arrived. */
     [[nodiscard]] RoutingDecision route(const FlowPacket& packet, TimePoint now);
+    /** @brief Sets the number of uploads that wait for the outgoing link, by which new ones are admitted. */
+    void setWaitingUploads(std::size_t count) noexcept { this->waitingUploads = count; }
     /**
      * @brief Removes and returns the pending resets for flows of upstreams found dead since the last call.
      *
@@ -175,6 +180,8 @@
         TimePoint firstSeenAt;
         /** Time of the last packet. */
         TimePoint lastSeenAt;
+        /** Bytes of the unanswered request, or of the last one. */
+        std::size_t requestBytes {};
         /** Retransmissions of the packet with `sequence`. */
         std::uint32_t retransmissions {};
         bool established {};
@@ -201,7 +208,7 @@
     void trackPacket(
         Flow& flow, Upstream& upstream, const FlowPacket& packet, RoutingDecision& decision, TimePoint now);
     /** @brief Records evidence that the upstream has answered this flow; clears its failures. */
-    void recordAnswer(Flow& flow, Upstream& upstream, TimePoint now);
+    void recordAnswer(Flow& flow, const Endpoint& route, Upstream& upstream, TimePoint now);
     /** @brief Removes the flow from the counts of its upstream. */
     void endFlow(Flow& flow);
     /** @return True if a packet with data belongs to a stalled flow and a threshold for a dead upstream is reached. */
@@ -249,6 +256,8 @@
     std::unordered_set<std::string> withdrawnZones;
     std::vector<ReturnedZone> returnedZones;
     UpstreamDirectory upstreams;
+    UploadAdmission uploads;
+    std::size_t waitingUploads {};
     std::unordered_map<FlowId, Flow, FlowIdHash> flows;
 };
 
--- a/src/zinnia/routing/fwd.hpp
+++ b/src/zinnia/routing/fwd.hpp
@@ -9,5 +9,6 @@
 class FlowRouter;
 class EgressQueue;
 class LinkPacer;
+class UploadAdmission;
 
 } // namespace zinnia::routing
--- a/src/zinnia/routing/routing_decision.hpp
+++ b/src/zinnia/routing/routing_decision.hpp
@@ -36,9 +36,10 @@
     UpstreamDead,
     CopyMoved,
     NoState,
+    LinkFull,
 };
 
-inline constexpr NameTable<RoutingReason, 8> routingReasonNames { {
+inline constexpr NameTable<RoutingReason, 9> routingReasonNames { {
     { RoutingReason::None, "none" },
     { RoutingReason::NoRoute, "no_route" },
     { RoutingReason::NoUpstream, "no_upstream" },
@@ -47,6 +48,7 @@
     { RoutingReason::UpstreamDead, "upstream_dead" },
     { RoutingReason::CopyMoved, "copy_moved" },
     { RoutingReason::NoState, "no_state" },
+    { RoutingReason::LinkFull, "link_full" },
 } };
 static_assert(isDense(routingReasonNames));
 
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -45,20 +45,21 @@
     } };
     static_assert(isDense(checkResultNames));
 
+    /** @return The rate at which packets of flows may be sent; 0 if it is not limited. Unit: bytes per second. */
+    std::uint64_t packetRateOf(const RouterSettings& settings)
+    {
+        return static_cast<std::uint64_t>(static_cast<double>(settings.linkBitsPerSecond) / 8 * packetShareOfLink);
+    }
+
     routing::FlowRouterSettings routerSettingsOf(const RouterSettings& settings, Epoch epoch)
     {
         routing::FlowRouterSettings router;
         router.zone = settings.member.zone;
+        router.uploads.bytesPerSecond = packetRateOf(settings);
         router.seed = settings.instance.value ^ epoch.value;
         return router;
     }
 
-    /** @return The rate at which packets of flows may be sent; 0 if it is not limited. Unit: bytes per second. */
-    std::uint64_t packetRateOf(const RouterSettings& settings)
-    {
-        return static_cast<std::uint64_t>(static_cast<double>(settings.linkBitsPerSecond) / 8 * packetShareOfLink);
-    }
-
     routing::EgressQueueSettings egressSettingsOf(const RouterSettings& settings)
     {
         routing::EgressQueueSettings egress;
@@ -238,6 +239,7 @@
 void RouterProcess::handle(BytesView bytes, const routing::FlowPacket& packet, TimePoint since)
 {
     const TimePoint now = this->loop->now();
+    this->router.setWaitingUploads(this->egressQueue.uploadCount());
     const auto decision = this->router.route(packet, now);
     this->actionCounters[static_cast<std::size_t>(decision.action)]->add();
     this->reasonCounters[static_cast<std::size_t>(decision.reason)]->add();
