soak: uploads of several packets, and routers that pace themselves to 2 Mbit/s

A request of 40 KB is sent in a window of 16 packets; upstreams accept packets in order and acknowledge each.

--- a/test/platform/soak/soak.py
+++ b/test/platform/soak/soak.py
@@ -210,7 +210,8 @@
                                  f"{sum(recent)} of {len(recent)} requests were served after the last fault")
     finally:
         await cluster.stop()
-    if not injected or not checks.counts.get("requests run") or not checks.counts.get("reads"):
+    if not injected or not checks.counts.get("requests run") or not checks.counts.get(
+            "reads") or not checks.counts.get("uploads"):
         checks.add_violation("soak", "nothing was injected or nothing was checked")
     checks.counts["requests served"] = sum(served for _, served in cluster.served)
     checks.counts["requests sent"] = len(cluster.served)
--- a/test/platform/soak/traffic.py
+++ b/test/platform/soak/traffic.py
@@ -11,6 +11,10 @@
 HEARTBEAT_INTERVAL = 0.4  # s; equals the setting of the control instances
 REQUEST_TIMEOUT = 2.0  # s
 RETRANSMISSION_DELAYS = (0.2, 0.4, 0.8)  # s between transmissions of a packet
+PACKET_BYTES = 1200
+WINDOW = 16  # packets in flight
+UPLOAD_SHARE = 0.03  # of the requests
+UPLOAD_BYTES = 40_000
 ROUTES = {"logger": ("198.18.0.1", 443, "unsafe"), "archive": ("198.18.0.2", 443, "safe")}
 
 
@@ -88,7 +92,8 @@
         key = received.source
         if received.flags & SYN:
             self.cluster.checks.opening_received(self)
-            self.flows.setdefault(key, {"seq": self.cluster.random.getrandbits(31), "answers": {}})
+            self.flows.setdefault(key, {"seq": self.cluster.random.getrandbits(31), "answers": {}, "request": b"",
+                                        "next": received.seq + 1})
             self._send(received, self.flows[key]["seq"], received.seq + 1, SYN | ACK)
         elif key not in self.flows:
             self._send(received, received.ack, received.seq, RST)
@@ -98,13 +103,20 @@
             self._run_request(received, self.flows[key])
 
     def _run_request(self, received, flow):
+        # A request starts with a line of JSON that has its size; packets are accepted in order and each is acknowledged.
+        if received.seq == flow["next"]:
+            flow["request"] += received.data
+            flow["next"] += len(received.data)
+        request = json.loads(flow["request"].split(b"\n")[0]) if flow["request"] else None
+        if request and len(flow["request"]) < request["size"]:
+            return self._send(received, received.ack, flow["next"], ACK)
         # A retransmission gets the recorded answer and does not run the request again.
-        if received.seq not in flow["answers"]:
-            request = json.loads(received.data)
+        if request:
             self.cluster.checks.request_ran(request["id"], request["kind"], request["service"], self.service)
-            flow["answers"][received.seq] = json.dumps({"id": request["id"], "by": self.name}).encode()
-        data = flow["answers"][received.seq]
-        self._send(received, received.ack, received.seq + len(received.data), ACK, data)
+            flow["answers"][flow["next"]] = json.dumps({"id": request["id"], "by": self.name}).encode()
+            flow["request"] = b""
+        data = flow["answers"].get(received.seq + len(received.data), b"")
+        self._send(received, received.ack, flow["next"], ACK, data)
 
     def _send(self, received, seq, ack, flags, data=b""):
         answer = encode_packet(received.destination, received.source, seq, ack, received.token, flags, data,
@@ -163,22 +175,58 @@
                 return None
         return None
 
+    async def _transfer(self, deadline, data):
+        """Sends a request of several packets, a window at a time. Returns the answer, or None at the deadline."""
+        flow = self.flow
+        first, end = flow["seq"], flow["seq"] + len(data)
+        acknowledged, sent_to, delays = first, first, list(RETRANSMISSION_DELAYS)
+        resend_at = time.monotonic() + delays[0]
+        while time.monotonic() < deadline:
+            while sent_to < min(end, acknowledged + WINDOW * PACKET_BYTES):
+                self._send(sent_to, flow["ack"], flow["token"], ACK, data[sent_to - first:][:PACKET_BYTES])
+                sent_to = min(end, sent_to + PACKET_BYTES)
+            try:
+                received = await asyncio.wait_for(self.inbox.get(), max(0.0, resend_at - time.monotonic()))
+            except asyncio.TimeoutError:
+                if not delays:
+                    return None
+                resend_at = time.monotonic() + delays.pop(0)
+                sent_to = acknowledged
+                continue
+            if received.destination[1] != flow["port"]:
+                continue
+            if received.flags & RST or (received.ack == end and received.data):
+                return received
+            if received.ack > acknowledged:
+                acknowledged, delays = received.ack, list(RETRANSMISSION_DELAYS)
+                sent_to = max(sent_to, acknowledged)
+                resend_at = time.monotonic() + delays[0]
+        return None
+
     async def _request(self, service):
         address, port, kind = ROUTES[service]
         request = f"{self.cluster.random.getrandbits(64):016x}"
         deadline = time.monotonic() + REQUEST_TIMEOUT
+        is_upload = self.cluster.random.random() < UPLOAD_SHARE
         for _ in range(3):
             if self.flow is None or self.flow["service"] != service or self.cluster.random.random() < 0.05:
                 if not await self._open(service, (address, port), deadline):
                     continue
-            data = json.dumps({"id": request, "kind": kind, "service": service}).encode()
+            size = UPLOAD_BYTES if is_upload else 0
+            head = json.dumps({"id": request, "kind": kind, "service": service, "size": size}).encode() + b"\n"
+            data = head.ljust(size, b"x")
             flow = self.flow
-            received = await self._exchange(deadline, flow["seq"], flow["ack"], flow["token"], ACK, data)
+            if is_upload:
+                received = await self._transfer(deadline, data)
+            else:
+                received = await self._exchange(deadline, flow["seq"], flow["ack"], flow["token"], ACK, data)
             if received is not None and not received.flags & RST:
                 flow.update(seq=received.ack, ack=received.seq + len(received.data), token=received.token)
                 if received.data:
                     answer = json.loads(received.data)
                     self.cluster.checks.answer_received(request, answer)
+                    if is_upload:
+                        self.cluster.checks.count("uploads")
                     flow["by"] = answer["by"]
                     return True
             if received is not None and received.flags & RST and received.checksum != UPSTREAM_CHECKSUM:
--- a/test/platform/soak/world.py
+++ b/test/platform/soak/world.py
@@ -16,6 +16,7 @@
 ZONES = ("a", "b", "c")
 FEED, STREAM, HTTP, READY, PACKETS = 17720, 17721, 18166, 18167, 18172
 KEY = "3c" * 32
+LINK_MBIT_PER_S = 2.0  # by which routers pace themselves: an upload takes 160 ms
 
 
 class Process:
@@ -52,7 +53,7 @@
         for other, link in self.cluster.links_of(self):
             text += f'[[translation]]\ninstance = "{other.address}"\nreached_at = "{link.alias}"\n'
         if self.program == "zinnia-router":
-            return text + f'[listen]\npackets = "{self.address}:{PACKETS}"\nreadiness = "{self.address}:{READY}"\n'
+            return text + f'[listen]\npackets = "{self.address}:{PACKETS}"\nreadiness = "{self.address}:{READY}"\n[link]\nmbit_per_s = {LINK_MBIT_PER_S}\n'
         return text + f"""
 [listen]
 http = "{self.address}:{HTTP}"
