routing: give a flow one place in the egress queue, also at the end of its first turn

Cause, found while reading: a flow that had used up its first turn and had no packet left was still in the list of first turns; its next packet gave it a rank as well. If that packet was dropped at the limit, the rank stayed, and the next packet was taken from an empty queue. Change: a flow keeps its place in the list of first turns until take() gives it a rank. Tests: EgressQueue.AFlowWhoseLastPacketIsDroppedHasNoTurn fails without the change; a test with 200 seeds of random traffic does not reach the case and passes before and after.

--- a/src/zinnia/routing/egress_queue.cpp
+++ b/src/zinnia/routing/egress_queue.cpp
@@ -56,10 +56,15 @@
 
 void EgressQueue::enlist(const FlowId& id, FlowQueue& queue)
 {
-    if (queue.firstTurnBytes <= 0)
+    // `take` gives a flow a rank when its first turn ends; until then it must have one place only.
+    if (queue.inFirstTurn)
+        return;
+    if (queue.firstTurnBytes <= 0) {
         this->ranked.emplace(queue.rank, id);
-    else if (!std::exchange(queue.inFirstTurn, true))
-        this->firstTurns.push_back(id);
+        return;
+    }
+    queue.inFirstTurn = true;
+    this->firstTurns.push_back(id);
 }
 
 std::optional<QueuedPacket> EgressQueue::take(TimePoint now)
--- a/test/zinnia/routing/egress_queue_test.cpp
+++ b/test/zinnia/routing/egress_queue_test.cpp
@@ -1,7 +1,9 @@
 #include "zinnia/routing/egress_queue.hpp"
 
 #include <gtest/gtest.h>
-#include <string>
+#include <map>
+#include <random>
+#include <vector>
 
 namespace zinnia::routing::test {
 namespace {
@@ -168,5 +170,72 @@
         EXPECT_TRUE(queue.isEmpty());
     }
 
+    // Guards against a flow that has two places in the order after its first turn, and keeps one when its only packet
+    // is dropped: the next packet would be taken from an empty queue.
+    TEST(EgressQueue, AFlowWhoseLastPacketIsDroppedHasNoTurn)
+    {
+        EgressQueueSettings settings;
+        settings.maxBytes = 3'000;
+        EgressQueue queue { settings };
+        for (std::uint32_t i = 0; i < 3; ++i) {
+            add(queue, packetOf(1, 1000 + 1200 * i, 1200));
+            (void)queue.take(start);
+        }
+        add(queue, packetOf(1, 4600, 1200));
+        for (std::uint16_t port = 2; port <= 4; ++port)
+            add(queue, packetOf(port, 1, 600));
+        EXPECT_EQ(queue.dropped()[static_cast<std::size_t>(PacketKind::Data)], 1U);
+        EXPECT_EQ(queue.uploadCount(), 0U);
+        EXPECT_EQ(takeAll(queue), (std::vector { 2, 3, 4 }));
+    }
+
+    // Guards against packets that are lost, reordered within their flow or sent twice after any sequence of operations,
+    // and against a flow that keeps a place in the order when its last packet is dropped.
+    TEST(EgressQueue, KeepsEveryPacketOfRandomTrafficInOrder)
+    {
+        for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+            std::mt19937_64 random { seed };
+            EgressQueueSettings settings;
+            settings.turnBytes = 5'000;
+            settings.maxBytes = seed % 2 == 0 ? 1 << 20 : 4'000;
+            EgressQueue queue { settings };
+            TimePoint now = start;
+            std::map<std::uint16_t, std::uint32_t> nextSequence;
+            std::map<std::uint16_t, std::uint32_t> lastTaken;
+            std::uint64_t added = 0;
+            std::uint64_t taken = 0;
+            const auto take = [&] {
+                const auto next = queue.take(now);
+                if (!next)
+                    return false;
+                ++taken;
+                const auto port = next->packet.caller.port;
+                EXPECT_GT(next->packet.sequence, lastTaken[port]) << "seed " << seed;
+                lastTaken[port] = next->packet.sequence;
+                return true;
+            };
+            for (int step = 0; step < 500; ++step) {
+                now += Milliseconds { static_cast<std::int64_t>(random() % 40) };
+                const auto port = static_cast<std::uint16_t>(1 + random() % 5);
+                if (random() % 20 == 0)
+                    queue.expire(now);
+                if (random() % 2 == 0) {
+                    add(queue, packetOf(port, ++nextSequence[port], static_cast<std::uint16_t>(1 + random() % 1200)),
+                        now);
+                    ++added;
+                } else {
+                    (void)take();
+                }
+                EXPECT_LE(queue.size(), settings.maxBytes);
+            }
+            while (take()) { }
+            EXPECT_TRUE(queue.isEmpty());
+            EXPECT_EQ(added, taken + queue.dropped()[static_cast<std::size_t>(PacketKind::Data)]) << "seed " << seed;
+            queue.expire(now + Seconds { 2 });
+            EXPECT_EQ(queue.flowCount(), 0U);
+            EXPECT_EQ(queue.uploadCount(), 0U);
+        }
+    }
+
 } // namespace
 } // namespace zinnia::routing::test
