--- a/test/platform/soak/traffic.py
+++ b/test/platform/soak/traffic.py
@@ -181,7 +181,7 @@
         first, end = flow["seq"], flow["seq"] + len(data)
         acknowledged, sent_to, delays = first, first, list(RETRANSMISSION_DELAYS)
         resend_at = time.monotonic() + delays[0]
-        while time.monotonic() < deadline:
+        while time.monotonic() < deadline and not self.cluster.stopping:
             while sent_to < min(end, acknowledged + WINDOW * PACKET_BYTES):
                 self._send(sent_to, flow["ack"], flow["token"], ACK, data[sent_to - first:][:PACKET_BYTES])
                 sent_to = min(end, sent_to + PACKET_BYTES)
