--- a/test/zinnia/routing/egress_load_test.cpp
+++ b/test/zinnia/routing/egress_load_test.cpp
@@ -12,16 +12,18 @@
     constexpr std::array<std::uint64_t, 3> seeds { 1, 2, 3 };
 
     /** @return The figures of the worst of several seeds. */
-    template <class Order> LinkFigures worstOf(double uploadShare)
+    template <class Order> LinkFigures worstOf(double uploadShare, bool refusesUploads = false)
     {
-        LinkFigures worst { Milliseconds { 0 }, 1.0, 1.0, 1.0 };
+        LinkFigures worst { Milliseconds { 0 }, 0.0, 1.0, 1.0, 1.0 };
         for (const std::uint64_t seed : seeds) {
             Order order;
             LinkLoad load;
             load.uploadShare = uploadShare;
             load.seed = seed;
+            load.refusesUploads = refusesUploads;
             const LinkFigures figures = LinkSimulation { order, load }.run();
             worst.shortWaitP99 = std::max(worst.shortWaitP99, figures.shortWaitP99);
+            worst.uploadsRefused = std::max(worst.uploadsRefused, figures.uploadsRefused);
             worst.uploadsInAim = std::min(worst.uploadsInAim, figures.uploadsInAim);
             worst.uploadsServed = std::min(worst.uploadsServed, figures.uploadsServed);
             worst.sentPerUsefulByte = std::max(worst.sentPerUsefulByte, figures.sentPerUsefulByte);
@@ -33,8 +35,8 @@
     {
         std::cout << std::left << std::setw(16) << name << " uploads " << std::fixed << std::setprecision(2)
                   << uploadShare << " of the link: short requests wait p99 " << figures.shortWaitP99.count()
-                  << " ms, uploads in aim " << figures.uploadsInAim << ", served " << figures.uploadsServed
-                  << ", sent/useful " << figures.sentPerUsefulByte << '\n';
+                  << " ms, uploads refused " << figures.uploadsRefused << ", in aim " << figures.uploadsInAim
+                  << ", served " << figures.uploadsServed << ", sent/useful " << figures.sentPerUsefulByte << '\n';
     }
 
     class UploadsBesideShortRequests : public testing::TestWithParam<double> { };
@@ -58,7 +60,25 @@
         EXPECT_GE(worstOf<RouterQueue>(0.8).uploadsServed, 0.97);
     }
 
-    // The other two orders show the fault that the queue answers, under the same load.
+    // Guards against accepted uploads that end at their deadline on a link that cannot carry all of them.
+    TEST(EgressLoad, AcceptedUploadsAreServedOnAnOverloadedLink)
+    {
+        for (const double uploadShare : { 1.1, 1.5 }) {
+            const LinkFigures all = worstOf<RouterQueue>(uploadShare);
+            print("accepts all", uploadShare, all);
+            EXPECT_LT(all.uploadsServed, 0.97);
+            const LinkFigures admitted = worstOf<RouterQueue>(uploadShare, true);
+            print("refuses uploads", uploadShare, admitted);
+            EXPECT_GE(admitted.uploadsServed, 0.97);
+            EXPECT_LE(admitted.shortWaitP99, maxShortWait);
+        }
+        // Nearly nothing is refused while there is room.
+        const LinkFigures light = worstOf<RouterQueue>(0.5, true);
+        print("refuses uploads", 0.5, light);
+        EXPECT_LE(light.uploadsRefused, 0.03);
+    }
+
+    // The other orders show the fault that the queue answers, under the same load.
     TEST(EgressLoad, OtherOrdersLetShortRequestsWait)
     {
         for (const double uploadShare : { 0.5, 0.8, 1.1 }) {
--- a/test/zinnia/routing/link_simulation.hpp
+++ b/test/zinnia/routing/link_simulation.hpp
@@ -2,6 +2,7 @@
 
 #include "zinnia/routing/egress_queue.hpp"
 #include "zinnia/routing/link_pacer.hpp"
+#include "zinnia/routing/upload_admission.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -20,6 +21,8 @@
     virtual ~SendOrder() = default;
     virtual void add(const FlowPacket& packet, const Bytes& bytes, TimePoint now) = 0;
     [[nodiscard]] virtual std::optional<FlowPacket> take(TimePoint now) = 0;
+    /** @return Number of uploads whose data waits. */
+    [[nodiscard]] virtual std::size_t waitingUploads() const { return 0; }
 
 protected:
     SendOrder() = default;
@@ -77,6 +80,8 @@
         return next ? std::optional { next->packet } : std::nullopt;
     }
 
+    [[nodiscard]] std::size_t waitingUploads() const override { return this->queue.uploadCount(); }
+
 private:
     EgressQueue queue { {} };
 };
@@ -115,6 +120,8 @@
 struct LinkFigures {
     /** Time that a short request waits for the link: 99th percentile. */
     Milliseconds shortWaitP99 {};
+    /** Share of the uploads that are refused when they start; the other shares are of the accepted ones. */
+    double uploadsRefused {};
     /** Share of the uploads that finish within `LinkLoad::uploadAim`. */
     double uploadsInAim {};
     /** Share of the uploads that finish within `LinkLoad::uploadDeadline`. */
@@ -134,6 +141,8 @@
     Milliseconds uploadAim { 1200 };
     Milliseconds uploadDeadline { 6000 };
     Seconds duration { 30 };
+    /** Refuses uploads that the link cannot carry in time. */
+    bool refusesUploads {};
 };
 
 /**
@@ -148,6 +157,7 @@
         : order { &order }
         , load { load }
         , random { load.seed }
+        , admission { { .bytesPerSecond = load.refusesUploads ? load.bytesPerSecond : 0 } }
     {
     }
 
@@ -168,6 +178,8 @@
         std::sort(this->shortWaits.begin(), this->shortWaits.end());
         figures.shortWaitP99
             = std::chrono::duration_cast<Milliseconds>(this->shortWaits[this->shortWaits.size() * 99 / 100]);
+        figures.uploadsRefused
+            = static_cast<double>(this->refusedCount) / static_cast<double>(this->refusedCount + this->uploadCount);
         figures.uploadsInAim = static_cast<double>(this->uploadsInAim) / static_cast<double>(this->uploadCount);
         figures.uploadsServed = static_cast<double>(this->uploadsServed) / static_cast<double>(this->uploadCount);
         figures.sentPerUsefulByte = static_cast<double>(this->sentBytes) / static_cast<double>(this->usefulBytes);
@@ -179,6 +191,7 @@
     static constexpr std::uint16_t shortBytes = 230;
     static constexpr std::size_t window = 16;
     static constexpr Milliseconds oneWay { 3 };
+    static constexpr Endpoint uploadRoute { 0xC6120001, 443 };
 
     struct Event {
         TimePoint at;
@@ -219,6 +232,10 @@
         constexpr double sigma = 0.7;
         std::lognormal_distribution<double> sizes { std::log(this->load.meanUploadBytes) - sigma * sigma / 2, sigma };
         const double size = std::min(sizes(this->random), 6 * this->load.meanUploadBytes);
+        if (!this->admission.admits(uploadRoute, this->order->waitingUploads())) {
+            ++this->refusedCount;
+            return;
+        }
         ++this->uploadCount;
         this->start(static_cast<std::size_t>(std::ceil(size / packetBytes)), false);
     }
@@ -307,6 +324,7 @@
         ++request.acknowledgedCount;
         if (request.acknowledgedCount < request.packetCount)
             return this->fillWindow(port);
+        this->admission.recordRequest(uploadRoute, request.packetCount * static_cast<std::size_t>(packetBytes));
         if (this->now - request.startedAt <= this->load.uploadAim)
             ++this->uploadsInAim;
         if (this->now - request.startedAt <= this->load.uploadDeadline)
@@ -317,6 +335,7 @@
     SendOrder* order;
     LinkLoad load;
     std::mt19937_64 random;
+    UploadAdmission admission;
     TimePoint now { Seconds { 1000 } };
     std::uint64_t nextOrder {};
     std::uint16_t nextPort = 1;
@@ -325,6 +344,7 @@
     std::map<std::uint16_t, Request> requests;
     std::vector<Microseconds> shortWaits;
     std::uint64_t uploadCount {};
+    std::uint64_t refusedCount {};
     std::uint64_t uploadsInAim {};
     std::uint64_t uploadsServed {};
     std::uint64_t sentBytes {};
