--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
-"""A target leaves and starts again under its id; the DELETE of its earlier life reaches a core machine late."""
+"""Another writer sends one heartbeat with a long service name to each core machine; then a zone is evacuated."""
 
 import asyncio
+import json
 import sys
 import time
 from pathlib import Path
@@ -8,17 +9,28 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
 from deployment import BOUNDS, ZONES, Deployment, run  # noqa: E402
-from standins import Client, HeldLink, Target  # noqa: E402
+from standins import Client, Target  # noqa: E402
+from wire import call  # noqa: E402
 
-CUT = 5.0  # s; the longest cut of the site is 5.5
-WINDOW = BOUNDS["stability_window_ms"] / 1000
-FLOWS = 8  # per client
-PERIOD = 8.0  # s between two requests of a flow; idle_timeout_ms is 15000
+NAME_LENGTH = 70_000  # characters
+FLOWS = 4  # per client
+OBSERVED = 10.0  # s after evacuate_ms
+
+
+async def use_short_flows(client):
+    """Opens a flow for each request, three times a second."""
+    while True:
+        flow = await client.open()
+        if flow is not None:
+            await client.request(flow)
+            if not flow.get("ended"):
+                client.end(flow)
+        await asyncio.sleep(0.3)
 
 
 async def case(record, trouble):
     deployment = Deployment(record, routers=3)
-    links, tasks, targets, clients = [], [], [], []
+    tasks, targets, clients = [], [], []
     try:
         deployment.start()
         if not await deployment.configure(3):
@@ -28,52 +40,45 @@
             target = Target(deployment, i + 1, "peillogger", ZONES[i % 3])
             target.controls = cores[i % 3:] + cores[:i % 3]
             targets.append(target)
-        leaving = targets[0]
-        link = HeldLink(record, deployment.address(5, 1), cores[1], deployment.control_port)
-        await link.open()
-        links.append(link)
-        # It reaches the core machine of zone b through the link that is cut later, and prefers that machine.
-        leaving.controls = [link.alias, cores[0], cores[2]]
-        for target in targets:
             await target.start()
         await asyncio.sleep(3.0)
-        clients = [Client(deployment, i + 1, deployment.routers[i]) for i in range(3)]
-        for client in clients:
+        for i in range(3):
+            client = Client(deployment, i + 1, deployment.routers[i])
+            clients.append(client)
             await client.start()
-            tasks += [asyncio.create_task(client.keep_flow(PERIOD)) for _ in range(FLOWS)]
-        await asyncio.sleep(PERIOD + 1.0)
-        leave = asyncio.create_task(leaving.leave(BOUNDS["drain_ms"] / 1000 + 0.5))
-        await asyncio.sleep(BOUNDS["drain_ms"] / 1000 + 0.3)
-        link.cut = trouble
-        record.line(f"cut {leaving.address} from {cores[1]}: {trouble}")
-        cut_at = time.monotonic()
-        await leave
-        await asyncio.sleep(0.5)
-        leaving.controls = [cores[0], link.alias, cores[2]]
-        await leaving.start(cold_s=0.0)
-        born = time.monotonic()
-        # Flows of draining targets have ended, so new ones are opened, some of them at the new start.
-        tasks += [asyncio.create_task(clients[0].keep_flow(PERIOD)) for _ in range(FLOWS)]
-        await asyncio.sleep(max(0.0, cut_at + CUT - time.monotonic()))
-        link.cut = False
-        healed = time.monotonic()
-        record.line("the cut has healed")
-        await asyncio.sleep(WINDOW + PERIOD + 2.0)
-        counted = [at for client in clients for at, by in client.resets if by == leaving.id and at > healed + WINDOW]
-        early = [at for client in clients for at, by in client.resets if by == leaving.id and born < at <= healed + WINDOW]
+            tasks += [asyncio.create_task(use_short_flows(client)) for _ in range(FLOWS)]
+        await asyncio.sleep(BOUNDS["stability_window_ms"] / 1000)
+        if trouble:
+            for host in cores:
+                beat = {"service": "x" * NAME_LENGTH, "address": f"{deployment.address(6, 1)}:{deployment.target_port}",
+                        "zone": ZONES[0], "version": "v1", "slots": 2, "state": "ready", "cold_remaining_ms": 0,
+                        "seq": 1, "born": int(time.time() * 1000)}
+                status, _, _ = await call(host, deployment.control_port, "PUT", "/zinniamount/instances/i-0badc0ffee",
+                                          json.dumps(beat).encode())
+                record.line(f"another writer: PUT of a heartbeat for a service of {NAME_LENGTH} characters to {host}: "
+                            f"{status or 'no answer'}")
+        await asyncio.sleep(1.0)
+        if not 200 <= await deployment.order("POST", f"/zinniamount/evacuate/{ZONES[0]}") < 300:
+            return None
+        acknowledged = time.monotonic()
+        record.line(f"the evacuation of {ZONES[0]} is acknowledged")
+        await asyncio.sleep(BOUNDS["evacuate_ms"] / 1000 + OBSERVED)
+        bound = acknowledged + BOUNDS["evacuate_ms"] / 1000
+        late = {target.id: sum(at > bound for at in target.opened) for target in targets if target.zone == ZONES[0]}
+        others = sum(at > bound for target in targets if target.zone != ZONES[0] for at in target.opened)
         served = sum(client.served for client in clients)
-        record.line(f"served {served}; resets of open flows of the living target {leaving.id}: {len(counted)} later than "
-                    f"stability_window_ms after the cut, {len(early)} before")
-        if served < 20 or not any(at > born for at, _ in leaving.ran):
+        record.line(f"served {served}; openings later than evacuate_ms after the acknowledgement: {late} in {ZONES[0]}, "
+                    f"{others} elsewhere")
+        if served < 100:
             return None
-        return bool(counted)
+        return any(late.values())
     finally:
         for task in tasks:
             task.cancel()
-        for thing in targets:
-            thing.end()
-        for thing in clients + links:
-            thing.close()
+        for target in targets:
+            target.end()
+        for client in clients:
+            client.close()
         await deployment.stop()
 
 
