runtime: keys of the command line replace those of the settings file

Cause: a deployment's template cannot always name every bound that a process needs, and the fields of `run` can. Change: `--set KEY=VALUE`, repeatable, for all programs; the value is checked like one of the file, and a reload keeps it. Tests: Settings.OverridesReplaceSingleKeys, CommandLine.ParsesTheSharedOptions.

--- a/src/programs/zinnia-fleet/main.cpp
+++ b/src/programs/zinnia-fleet/main.cpp
@@ -8,7 +8,7 @@
 using namespace zinnia;
 using namespace zinnia::runtime;
 
-int runFleet(const FleetSettings& settings, const std::string& file)
+int runFleet(const FleetSettings& settings, const SettingsSource& source)
 {
     return runProcess(
         settings,
@@ -18,7 +18,7 @@
         [](FleetError error) {
             log(Event::ControlNotStarted, Field { "cause", error });
         },
-        ReloadSettings<FleetSettings> { file, &readFleetSettings });
+        ReloadSettings<FleetSettings> { source, &readFleetSettings });
 }
 
 } // namespace
--- a/src/programs/zinnia-router/main.cpp
+++ b/src/programs/zinnia-router/main.cpp
@@ -8,7 +8,7 @@
 using namespace zinnia;
 using namespace zinnia::runtime;
 
-int runRouter(const RouterSettings& settings, const std::string& file)
+int runRouter(const RouterSettings& settings, const SettingsSource& source)
 {
     const platform::PacketCodec format;
     return runProcess(
@@ -20,7 +20,7 @@
             log(Event::ListenFailed, Field { "key", error.key }, Field { "address", error.address },
                 Field { "cause", error.cause });
         },
-        ReloadSettings<RouterSettings> { file, &readRouterSettings });
+        ReloadSettings<RouterSettings> { source, &readRouterSettings });
 }
 
 } // namespace
--- a/src/zinnia/runtime/command_line.cpp
+++ b/src/zinnia/runtime/command_line.cpp
@@ -38,9 +38,11 @@
     , name { description.name }
     , config { "", "config", "settings file (TOML)", true, "", "FILE" }
     , check { "", "check-config", "checks the settings file and exits" }
+    , overrides { "", "set", "replaces a key of the settings file, such as group.catch_up_s=4", false, "KEY=VALUE" }
 {
     this->command.add(this->config);
     this->command.add(this->check);
+    this->command.add(this->overrides);
 }
 
 Result<CommandLine, CommandLineExit> CommandLineParser::parse(const std::vector<std::string>& arguments)
@@ -58,7 +60,7 @@
     } catch (const TCLAP::ExitException& exit) {
         return CommandLineExit { exit.getExitStatus() };
     }
-    return CommandLine { this->config.getValue(), this->check.getValue() };
+    return CommandLine { this->config.getValue(), this->check.getValue(), this->overrides.getValue() };
 }
 
 void printErrors(const SettingsErrors& errors)
--- a/src/zinnia/runtime/command_line.hpp
+++ b/src/zinnia/runtime/command_line.hpp
@@ -28,6 +28,7 @@
 struct CommandLine {
     std::string configFile;
     bool checkConfig {};
+    SettingsOverrides overrides;
 };
 
 /** @brief The program has to exit after parsing: help or version was printed (code 0), or an error (code 2). */
@@ -49,6 +50,7 @@
     std::string name;
     TCLAP::ValueArg<std::string> config;
     TCLAP::SwitchArg check;
+    TCLAP::MultiArg<std::string> overrides;
 };
 
 /** @brief Prints each error as a line on the standard error stream. */
@@ -57,17 +59,17 @@
 /**
  * @brief The `main` of a program with the shared options only.
  * @param read Reads the settings from the root table.
- * @param run Runs the program with the settings and the path of their file, and returns its exit code.
+ * @param run Runs the program with the settings and their source, and returns its exit code.
  */
 template <class T>
 [[nodiscard]] int runProgram(const ProgramDescription& description, int argc, const char* const* argv,
-    T (*read)(TableReader&), const std::function<int(const T&, const std::string& file)>& run)
+    T (*read)(TableReader&), const std::function<int(const T&, const SettingsSource& source)>& run)
 {
     CommandLineParser parser { description };
     const auto line = parser.parse({ argv + 1, argv + argc });
     if (!line)
         return line.error().code;
-    const auto settings = loadSettings(line.value().configFile, read);
+    const auto settings = loadSettings(line.value().configFile, read, line.value().overrides);
     if (!settings) {
         printErrors(settings.error());
         return exit_code::usage;
@@ -76,7 +78,7 @@
         std::cout << line.value().configFile << ": ok\n";
         return exit_code::done;
     }
-    return run(settings.value(), line.value().configFile);
+    return run(settings.value(), SettingsSource { line.value().configFile, line.value().overrides });
 }
 
 /** @brief As above, for a program that does not reload its settings. */
@@ -84,9 +86,9 @@
 [[nodiscard]] int runProgram(const ProgramDescription& description, int argc, const char* const* argv,
     T (*read)(TableReader&), int (*run)(const T&))
 {
-    const std::function<int(const T&, const std::string&)> withFile
-        = [run](const T& settings, const std::string&) { return run(settings); };
-    return runProgram<T>(description, argc, argv, read, withFile);
+    const std::function<int(const T&, const SettingsSource&)> withSource
+        = [run](const T& settings, const SettingsSource&) { return run(settings); };
+    return runProgram<T>(description, argc, argv, read, withSource);
 }
 
 } // namespace zinnia::runtime
--- a/src/zinnia/runtime/run_daemon.hpp
+++ b/src/zinnia/runtime/run_daemon.hpp
@@ -17,8 +17,8 @@
 /** @brief A process that does not reload its settings. */
 struct NoReload {
     template <class Process> void operator()(Process&) const { }
-    /** Empty: the file is not watched. */
-    std::string file;
+    /** Without a file, nothing is watched. */
+    SettingsSource source;
 };
 
 /**
@@ -26,12 +26,12 @@
  * @tparam Settings What `read` returns; the process has `reload(const Settings&)`.
  */
 template <class Settings> struct ReloadSettings {
-    std::string file;
+    SettingsSource source;
     Settings (*read)(TableReader&);
 
     template <class Process> void operator()(Process& process) const
     {
-        const auto settings = loadSettings(this->file, this->read);
+        const auto settings = loadSettings(this->source.file, this->read, this->source.overrides);
         if (settings)
             return process.reload(settings.value());
         for (const SettingsError& error : settings.error())
@@ -54,7 +54,7 @@
     std::function<void()> reloadSettings = [] {};
     // Before the process starts threads, which inherit the signal mask.
     std::function<void()> onHangup;
-    if (!reload.file.empty())
+    if (!reload.source.file.empty())
         onHangup = [&reloadSettings] { reloadSettings(); };
     const StopSignals signals { running, [&stop] { stop(); }, onHangup };
     auto process = make(epochOfThisStart(), running);
@@ -68,8 +68,8 @@
     };
     reloadSettings = [&process, &reload] { reload(*process.value()); };
     std::optional<SettingsWatch> watch;
-    if (!reload.file.empty())
-        watch.emplace(running, reload.file, reloadSettings);
+    if (!reload.source.file.empty())
+        watch.emplace(running, reload.source.file, reloadSettings);
     log(Event::ProcessStarted, Field { "instance", settings.instance });
     running.run();
     log(Event::ProcessStopped);
--- a/src/zinnia/runtime/settings.cpp
+++ b/src/zinnia/runtime/settings.cpp
@@ -328,16 +328,45 @@
         std::move(allowed));
 }
 
-SettingsErrors readSettingsText(
-    std::string_view text, const std::string& file, const std::function<void(TableReader&)>& read)
+namespace {
+
+    /** @brief Puts the keys of a table in place of those of another one, at every depth. */
+    void replaceKeys(toml::table& target, const toml::table& source)
+    {
+        for (const auto& [key, value] : source) {
+            auto* existing = target.get_as<toml::table>(key.str());
+            const auto* replacement = value.as_table();
+            if (existing != nullptr && replacement != nullptr)
+                replaceKeys(*existing, *replacement);
+            else
+                target.insert_or_assign(key.str(), value);
+        }
+    }
+
+    SettingsError syntaxError(const std::string& source, const toml::parse_error& error)
+    {
+        return { SettingsFault::Syntax, source, error.source().begin.line, "", std::string { error.description() },
+            "TOML 1.0" };
+    }
+
+} // namespace
+
+SettingsErrors readSettingsText(std::string_view text, const std::string& file,
+    const std::function<void(TableReader&)>& read, const SettingsOverrides& overrides)
 {
     auto document = std::make_shared<SettingsDocument>();
     document->file = file;
     try {
         document->root = toml::parse(text, file);
     } catch (const toml::parse_error& error) {
-        return { SettingsError { SettingsFault::Syntax, file, error.source().begin.line, "",
-            std::string { error.description() }, "TOML 1.0" } };
+        return { syntaxError(file, error) };
+    }
+    for (const std::string& line : overrides) {
+        try {
+            replaceKeys(document->root, toml::parse(line));
+        } catch (const toml::parse_error& error) {
+            return { syntaxError(line, error) };
+        }
     }
     TableReader reader { document, opaqueTable(document->root), "" };
     read(reader);
@@ -345,7 +374,8 @@
     return std::move(document->errors);
 }
 
-SettingsErrors readSettingsFile(const std::string& file, const std::function<void(TableReader&)>& read)
+SettingsErrors readSettingsFile(
+    const std::string& file, const std::function<void(TableReader&)>& read, const SettingsOverrides& overrides)
 {
     std::ifstream stream { file, std::ios::binary };
     std::ostringstream content;
@@ -353,7 +383,7 @@
         content << stream.rdbuf();
     if (!stream || stream.bad())
         return { SettingsError { SettingsFault::Unreadable, file, 0, "", "", "a readable file" } };
-    return readSettingsText(content.str(), file, read);
+    return readSettingsText(content.str(), file, read, overrides);
 }
 
 } // namespace zinnia::runtime
--- a/src/zinnia/runtime/settings.hpp
+++ b/src/zinnia/runtime/settings.hpp
@@ -100,24 +100,37 @@
     std::string path;
 };
 
+/** @brief Keys that replace those of a settings file, each as a line of TOML such as "group.catch_up_s=4". */
+using SettingsOverrides = std::vector<std::string>;
+
+/** @brief Where the settings of a process come from. */
+struct SettingsSource {
+    std::string file;
+    SettingsOverrides overrides {};
+};
+
 /**
  * @brief Parses TOML text and reads it.
  * @param file Name for error messages.
  * @param read Reads the root table into the settings.
+ * @param overrides Keys that replace those of the text.
  * @return Every error, in which case nothing was read; nothing is applied from a file with errors.
  */
-[[nodiscard]] SettingsErrors readSettingsText(
-    std::string_view text, const std::string& file, const std::function<void(TableReader&)>& read);
+[[nodiscard]] SettingsErrors readSettingsText(std::string_view text, const std::string& file,
+    const std::function<void(TableReader&)>& read, const SettingsOverrides& overrides = {});
 
 /** @brief As `readSettingsText`, from a file. */
-[[nodiscard]] SettingsErrors readSettingsFile(const std::string& file, const std::function<void(TableReader&)>& read);
+[[nodiscard]] SettingsErrors readSettingsFile(
+    const std::string& file, const std::function<void(TableReader&)>& read, const SettingsOverrides& overrides = {});
 
 /** @return The settings read by `read` from a file, or every error. */
 template <class T>
-[[nodiscard]] Result<T, SettingsErrors> loadSettings(const std::string& file, T (*read)(TableReader&))
+[[nodiscard]] Result<T, SettingsErrors> loadSettings(
+    const std::string& file, T (*read)(TableReader&), const SettingsOverrides& overrides = {})
 {
     std::optional<T> settings;
-    SettingsErrors errors = readSettingsFile(file, [&](TableReader& reader) { settings.emplace(read(reader)); });
+    SettingsErrors errors = readSettingsFile(
+        file, [&](TableReader& reader) { settings.emplace(read(reader)); }, overrides);
     if (!errors.empty())
         return errors;
     return std::move(*settings);
--- a/test/zinnia/runtime/command_line_test.cpp
+++ b/test/zinnia/runtime/command_line_test.cpp
@@ -17,6 +17,9 @@
         ASSERT_TRUE(line);
         EXPECT_EQ(line.value().configFile, "f.toml");
         EXPECT_TRUE(line.value().checkConfig);
+        const auto withKeys = parse({ "--config", "f.toml", "--set", "a.b=1", "--set", "c='x'" });
+        ASSERT_TRUE(withKeys);
+        EXPECT_EQ(withKeys.value().overrides, (SettingsOverrides { "a.b=1", "c='x'" }));
         testing::internal::CaptureStdout();
         EXPECT_EQ(parse({ "--version" }).error().code, 0);
         EXPECT_EQ(testing::internal::GetCapturedStdout(), "sample 0.1.0\n");
--- a/test/zinnia/runtime/settings_test.cpp
+++ b/test/zinnia/runtime/settings_test.cpp
@@ -100,5 +100,24 @@
         EXPECT_EQ(sample.error().front().fault, SettingsFault::Unreadable);
     }
 
+    // Guards against keys of the command line that are ignored, that remove other keys, or that bypass the checks.
+    TEST(Settings, OverridesReplaceSingleKeys)
+    {
+        const std::string text = "[group]\nlost = 1\nname = \"a\"\n";
+        std::int64_t lost = 0;
+        std::string name;
+        const auto read = [&](TableReader& root) {
+            TableReader group = root.table("group");
+            lost = group.integer("lost", { 0, 9 });
+            name = group.text("name");
+        };
+        EXPECT_TRUE(readSettingsText(text, "f.toml", read, { "group.lost=4" }).empty());
+        EXPECT_EQ(lost, 4);
+        EXPECT_EQ(name, "a");
+        EXPECT_EQ(readSettingsText(text, "f.toml", read, { "group.lost=10" }).size(), 1U);
+        EXPECT_EQ(readSettingsText(text, "f.toml", read, { "group.other=1" }).size(), 1U);
+        EXPECT_EQ(readSettingsText(text, "f.toml", read, { "group.lost=" }).size(), 1U);
+    }
+
 } // namespace
 } // namespace zinnia::runtime
