feed: keep contact with the voters that the log names

What operators would see: after a restart of all control instances no change is answered, if the seeds in the settings name only instances that have been replaced since the first start. Cause: control instances contact seeds and instances that peers report. The voters in the log, whose ids are their addresses, were not used. Change: voters are peers for as long as they are voters. Before: FleetProcessTest.ContactsTheVotersOfTheLogThatNoSeedNames fails without the call of setVoters (0 gossip messages in 1 s). After: passes.

--- a/src/zinnia/feed/control_peer_table.cpp
+++ b/src/zinnia/feed/control_peer_table.cpp
@@ -23,6 +23,18 @@
     }
 }
 
+bool ControlPeerTable::setVoters(const std::vector<InstanceId>& voters, TimePoint now)
+{
+    for (auto& [id, peer] : this->knownPeers)
+        peer.voter = false;
+    const bool changed = this->addPeers(voters, now);
+    for (const auto& voter : voters) {
+        if (voter != this->self)
+            this->knownPeers[voter].voter = true;
+    }
+    return changed;
+}
+
 PeerChange ControlPeerTable::recordMessage(InstanceId instance, Epoch epoch, TimePoint now)
 {
     if (instance == this->self)
@@ -72,7 +84,8 @@
 {
     return std::erase_if(this->knownPeers, [&](const auto& item) {
         const Peer& peer = item.second;
-        return !peer.seed && now - std::max(peer.lastMessageAt, peer.learnedAt) > this->settings.retention;
+        return !peer.seed && !peer.voter
+            && now - std::max(peer.lastMessageAt, peer.learnedAt) > this->settings.retention;
     }) > 0;
 }
 
--- a/src/zinnia/feed/control_peer_table.hpp
+++ b/src/zinnia/feed/control_peer_table.hpp
@@ -29,7 +29,7 @@
     Returned,
 };
 
-/** @brief The other control instances known to one of them: the configured seeds, and those that peers report. */
+/** @brief The other control instances known to one of them: the seeds, the voters, and those that peers report. */
 class ControlPeerTable {
 public:
     ControlPeerTable(
@@ -37,6 +37,11 @@
 
     /** @brief Replaces the seeds; former seeds are kept as ordinary peers. */
     void setSeeds(const std::vector<InstanceId>& seeds, TimePoint now);
+    /**
+     * @brief Replaces the voters of the replicated log, which are known from the log even if no seed names them.
+     * @return True if any of them was unknown.
+     */
+    bool setVoters(const std::vector<InstanceId>& voters, TimePoint now);
     /** @brief Records that a message of a peer arrived. @return The state change that it shows. */
     PeerChange recordMessage(InstanceId instance, Epoch epoch, TimePoint now);
     /** @brief Adds instances that a peer reports as live. @return True if any of them was unknown. */
@@ -45,7 +50,10 @@
     void recordLiveReport(InstanceId instance, const std::vector<InstanceId>& live);
     /** @return True if a peer has reported, in its last message, that it receives messages of another instance. */
     [[nodiscard]] bool reportsLive(InstanceId instance, InstanceId other) const;
-    /** @brief Removes peers without a message for the retention time, except seeds. @return True if any was removed. */
+    /**
+     * @brief Removes peers without a message for the retention time, except seeds and voters.
+     * @return True if any was removed.
+     */
     bool removeExpired(TimePoint now);
 
     /** @return All known peers, live or not. */
@@ -56,6 +64,7 @@
 private:
     struct Peer {
         bool seed {};
+        bool voter {};
         TimePoint learnedAt;
         /** Zero before the first message. */
         TimePoint lastMessageAt;
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -175,6 +175,16 @@
         this->replica->setPeers(this->replicaPeers());
 }
 
+void FleetProcess::rememberVoters(const consensus::Status& status)
+{
+    std::vector<InstanceId> voters;
+    voters.reserve(status.voters.size());
+    for (const auto& voter : status.voters)
+        voters.push_back(voter.instance);
+    if (this->peerTable.setVoters(voters, this->loop->now()))
+        this->setPeers();
+}
+
 bool FleetProcess::hasLeader() const { return this->replica && this->replica->status().leader.has_value(); }
 
 CallResult FleetProcess::resultOf(const consensus::ProposalResult& result) const
@@ -265,6 +275,7 @@
     if (!this->replica)
         return;
     const consensus::Status status = this->replica->status();
+    this->rememberVoters(status);
     this->metrics.gauge({ "zinnia_control_is_leader" }).set(status.role == consensus::Role::Leader ? 1 : 0);
     this->metrics.gauge({ "zinnia_control_term" }).set(static_cast<double>(status.term));
     this->metrics.gauge({ "zinnia_control_commit_index" }).set(static_cast<double>(status.commit));
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -130,6 +130,8 @@
     void refresh();
     void restartReplica();
     void setPeers();
+    /** @brief Keeps contact with the voters: after a restart the seeds may name none of them any more. */
+    void rememberVoters(const consensus::Status& status);
     void continueStop(int turnsLeft);
     [[nodiscard]] bool hasLeader() const;
     [[nodiscard]] CallResult resultOf(const consensus::ProposalResult& result) const;
--- a/test/zinnia/runtime/fleet_process_test.cpp
+++ b/test/zinnia/runtime/fleet_process_test.cpp
@@ -43,6 +43,13 @@
             this->process = std::move(created.value());
         }
 
+        void runFor(Milliseconds duration)
+        {
+            const auto end = this->loop->now() + duration;
+            while (this->loop->now() < end)
+                this->loop->runOnce(Milliseconds { 20 });
+        }
+
         CallStatus withdrawZone() { return this->change(config::SetZoneWithdrawn { "a", true }); }
 
         CallStatus change(const config::FleetCommand& command)
@@ -100,6 +107,8 @@
                 [this](const wire::OpenedMessage& message, const Endpoint&) {
                     if (message.kind == wire::MessageKind::FeedReply)
                         ++this->feedReplies;
+                    else if (message.kind == wire::MessageKind::Gossip)
+                        ++this->gossipMessages;
                     else if (auto reply = wire::decode<load::LoadReply>(message.body);
                              reply && message.kind == wire::MessageKind::LoadReply)
                         this->loadReplies.push_back(reply.value());
@@ -143,6 +152,7 @@
         std::unique_ptr<FleetLink> link;
         std::vector<load::LoadReply> loadReplies;
         int feedReplies {};
+        int gossipMessages {};
     };
 
     // Guards against an instance that exits because its disk is full or fails during the start.
@@ -156,6 +166,26 @@
         EXPECT_EQ(this->withdrawZoneWithin(Seconds { 8 }), CallStatus::Done);
     }
 
+    // Guards against voters that lose contact for good when the seeds in the settings have been replaced one by one and
+    // all instances restart.
+    TEST_F(FleetProcessTest, ContactsTheVotersOfTheLogThatNoSeedNames)
+    {
+        const std::uint32_t other = 0x7F4D0002;
+        this->settings.voters = 3;
+        this->settings.member.seeds.push_back({ other, 27722 });
+        this->settings.member.seeds.push_back({ 0x7F4D0003, 27722 });
+        this->start();
+        this->runFor(Milliseconds { 300 });
+        this->process.reset();
+        this->loop = std::move(EventLoop::create(this->clock)).value();
+        this->settings.bootstrap = false;
+        this->settings.member.seeds.resize(1);
+        this->startRouter("a");
+        this->start();
+        this->runFor(Milliseconds { 1000 });
+        EXPECT_GT(this->gossipMessages, 0);
+    }
+
     // Guards against a control instance that does not answer load reports, or without the facts of the stored document.
     TEST_F(FleetProcessTest, AnswersALoadReportWithItsZoneAndTheRouteFacts)
     {
