consensus: a removed instance leaves the voters before the next loss counts

Cause: a stopped voter never left the group, and a voter without contact was replaced only after 5 s, a constant that a new leader counted from its own election. The deployment stops counting a removed machine after 4 s. Ruled out: a successor that was not caught up. Change: a stopped voter asks the leader (LeaveRequest, LeaveReply) to give its place to a learner and exits afterwards, a leader removes itself. A voter without contact is replaced after half of `group.catch_up_s`, which the deployment sets; a new leader counts the absence of the previous one from its last message. A learner that stops is dropped, and one without contact forgets its leader, so it no longer calls upstreams silent. With parts taken out, AStoppingVoterHandsItsPlaceToALearnerBeforeItExits and ALearnerThatIsCutOffHasNoLeader fail. Conclusion: one removed voter and one lost disk leave two of three voters.

--- a/src/zinnia/consensus/admission.cpp
+++ b/src/zinnia/consensus/admission.cpp
@@ -73,6 +73,61 @@
     }
 }
 
+bool Replica::isLeaving() const
+{
+    if (!this->stopping || !this->isDynamic() || this->role == Role::StorageFailed || this->role == Role::Replaced)
+        return false;
+    if (!this->log.membershipAt(this->commitIndex).membership.contains(this->hardState.self))
+        return false;
+    if (this->role == Role::Leader)
+        return !this->isCommitted(this->log.latestMembership()) || this->hasResponsiveLearner();
+    return this->leader && !this->leaveRefused;
+}
+
+void Replica::sendLeaveRequest()
+{
+    if (!this->isDynamic() || !this->leader || this->leaveRefused || this->now < this->nextLeaveRequest)
+        return;
+    this->nextLeaveRequest = this->now + this->settings.joinRequestInterval;
+    this->send(LeaveRequest { this->headerTo(*this->leader) });
+}
+
+void Replica::on(const LeaveRequest& message)
+{
+    if (this->role != Role::Leader)
+        return;
+    const ReplicaId& from = message.header.from;
+    if (!this->log.latestMembership().membership.contains(from)) {
+        // A learner that leaves must not become a voter. A voter that was removed has to learn the commit.
+        const bool pending = !this->isCommitted(this->log.latestMembership());
+        if (!pending)
+            this->progress.erase(from);
+        return this->send(LeaveReply { this->headerTo(from), pending });
+    }
+    if (const auto found = this->progress.find(from); found != this->progress.end())
+        found->second.lastLeaveRequest = this->now;
+    this->send(LeaveReply { this->headerTo(from), this->hasResponsiveLearner() });
+    this->admitLearners();
+}
+
+void Replica::on(const LeaveReply& message)
+{
+    if (this->stopping && message.header.term == this->hardState.term)
+        this->leaveRefused = !message.pending;
+}
+
+bool Replica::isResponsive(const Progress& learner) const
+{
+    return !learner.probing && this->now - learner.ackedSendTime < this->settings.quorumTimeout;
+}
+
+bool Replica::hasResponsiveLearner() const
+{
+    const Membership& voters = this->log.latestMembership().membership;
+    return std::any_of(this->progress.begin(), this->progress.end(),
+        [&](const auto& item) { return !voters.contains(item.first) && this->isResponsive(item.second); });
+}
+
 void Replica::admitLearners()
 {
     this->syncProgress();
@@ -92,8 +147,37 @@
 {
     if (voter == this->hardState.self)
         return false;
+    return this->now - this->lastContactOf(voter) >= timeout;
+}
+
+TimePoint Replica::lastContactOf(const ReplicaId& voter) const
+{
+    if (voter == this->hardState.self)
+        return this->now;
     const auto found = this->progress.find(voter);
-    return found == this->progress.end() || this->now - found->second.ackedSendTime >= timeout;
+    return found == this->progress.end() ? TimePoint {} : found->second.ackedSendTime;
+}
+
+bool Replica::isLeaving(const ReplicaId& voter) const
+{
+    if (voter == this->hardState.self)
+        return this->stopping;
+    const auto found = this->progress.find(voter);
+    return found != this->progress.end() && found->second.lastLeaveRequest != TimePoint {}
+    && this->now - found->second.lastLeaveRequest < this->settings.quorumTimeout;
+}
+
+std::optional<ReplicaId> Replica::replaceableVoter() const
+{
+    std::optional<ReplicaId> unreachable;
+    for (const ReplicaId& voter : this->log.latestMembership().membership.voters) {
+        if (this->isLeaving(voter))
+            return voter;
+        if (this->isUnreachable(voter, this->settings.voterReplacementDelay)
+            && (!unreachable || this->lastContactOf(voter) < this->lastContactOf(*unreachable)))
+            unreachable = voter;
+    }
+    return unreachable;
 }
 
 std::optional<Membership> Replica::membershipWith(const ReplicaId& id, const Progress& learner)
@@ -106,16 +190,14 @@
         }
         std::erase(next.voters, *voterOfInstance);
     } else if (this->isDynamic()) {
-        if (this->now - learner.ackedSendTime >= this->settings.quorumTimeout)
+        if (!this->isResponsive(learner))
             return std::nullopt;
         if (next.voters.size() >= this->settings.targetVoterCount) {
-            const auto unreachable
-                = std::find_if(next.voters.begin(), next.voters.end(), [this](const ReplicaId& voter) {
-                      return this->isUnreachable(voter, this->settings.voterReplacementDelay);
-                  });
-            if (unreachable == next.voters.end())
+            const auto replaced = this->replaceableVoter();
+            if (!replaced)
                 return std::nullopt;
-            next.voters.erase(unreachable);
+            this->report(zinnia::Event::VoterReplaced, *replaced, this->log.lastIndex() + 1);
+            std::erase(next.voters, *replaced);
         }
     }
     next.voters.push_back(id);
--- a/src/zinnia/consensus/election.cpp
+++ b/src/zinnia/consensus/election.cpp
@@ -91,6 +91,11 @@
     this->report(zinnia::Event::LeaderElected, this->hardState.self);
     this->progress.clear();
     this->syncProgress();
+    // The previous leader has been unreachable since before the election, unless it voted.
+    if (this->lastFollowedLeader && !this->votes.contains(*this->lastFollowedLeader)) {
+        if (const auto found = this->progress.find(*this->lastFollowedLeader); found != this->progress.end())
+            found->second.ackedSendTime = std::min(this->now, this->lastLeaderContact);
+    }
     this->appendAsLeader(Noop {});
     this->firstIndexOfTerm = this->log.lastIndex();
     this->nextHeartbeat = this->now + this->settings.heartbeatInterval;
@@ -236,7 +241,7 @@
     // In a dynamic group a removed instance remains as a learner. It retires only if another identity of the same
     // instance has replaced it.
     if (this->isDynamic() && reporter == this->hardState.self) {
-        this->report(zinnia::Event::ReplicaReplaced, reporter, membershipIndex);
+        this->report(zinnia::Event::VoterLeft, reporter, membershipIndex);
         return;
     }
     this->role = Role::Replaced;
--- a/src/zinnia/consensus/message.hpp
+++ b/src/zinnia/consensus/message.hpp
@@ -135,9 +135,28 @@
     }
 };
 
+/** @brief Asks the leader to give the sender's place to another replica, because its process is shutting down. */
+struct LeaveRequest {
+    Header header;
+
+    template <class Self, class Visitor> static void describe(Self& self, Visitor& visit) { visit(self.header); }
+};
+
+/** @brief Answer to `LeaveRequest`. */
+struct LeaveReply {
+    Header header;
+    /** A learner is expected to take the sender's place. Otherwise the sender need not wait any longer. */
+    bool pending {};
+
+    template <class Self, class Visitor> static void describe(Self& self, Visitor& visit)
+    {
+        visit(self.header, self.pending);
+    }
+};
+
 /** @brief Payload of `MessageKind::Consensus`. The order of the alternatives is part of the wire format. */
 using Message = std::variant<PreVoteRequest, PreVoteReply, VoteRequest, VoteReply, AppendEntries, AppendEntriesReply,
-    InstallSnapshot, JoinRequest, Replaced>;
+    InstallSnapshot, JoinRequest, Replaced, LeaveRequest, LeaveReply>;
 
 [[nodiscard]] inline const Header& headerOf(const Message& message)
 {
--- a/src/zinnia/consensus/replica.cpp
+++ b/src/zinnia/consensus/replica.cpp
@@ -143,10 +143,15 @@
     const bool isLeaderless = this->isDynamic()
         && this->now - this->lastLeaderContact
             > rejoinElectionTimeouts * Microseconds { this->settings.maxElectionTimeout };
-    if (!this->isEligibleVoter() || isLeaderless)
+    if (this->stopping)
+        this->sendLeaveRequest();
+    else if (!this->isEligibleVoter() || isLeaderless)
         this->sendJoinRequests();
     if (this->isEligibleVoter() && this->now >= this->electionDeadline)
         this->campaign();
+    // A voter forgets its leader when it campaigns; a learner never does.
+    if (!this->isEligibleVoter() && this->now - this->lastLeaderContact >= this->settings.maxElectionTimeout)
+        this->leader.reset();
 }
 
 void Replica::on(const Receive& event)
--- a/src/zinnia/consensus/replica.hpp
+++ b/src/zinnia/consensus/replica.hpp
@@ -53,6 +53,12 @@
 
     [[nodiscard]] Status status() const;
 
+    /**
+     * @return True while this replica, after `Stop`, waits for a learner to take its place among the voters. A process
+     *         that exits earlier leaves an unreachable voter behind.
+     */
+    [[nodiscard]] bool isLeaving() const;
+
 private:
     /** @brief The leader's view of a voter or learner. */
     struct Progress {
@@ -65,6 +71,8 @@
         TimePoint snapshotSentAt;
         /** Time of the last join request received from a learner. */
         TimePoint lastJoinRequest;
+        /** Time of the last leave request received from a voter. */
+        TimePoint lastLeaveRequest;
     };
 
     /** @brief A write that the driver has not reported as durable yet. */
@@ -146,7 +154,10 @@
 
     // Admission
     void on(const JoinRequest& message);
+    void on(const LeaveRequest& message);
+    void on(const LeaveReply& message);
     void sendJoinRequests();
+    void sendLeaveRequest();
     void admitLearners();
     /** @brief Adds the progress of new voters and removes that of other replicas that no longer request to join. */
     void syncProgress();
@@ -154,6 +165,15 @@
     /** @return True if the leader keeps the number of voters at a target, see `Settings::targetVoterCount`. */
     [[nodiscard]] bool isDynamic() const noexcept { return this->settings.targetVoterCount > 0; }
     [[nodiscard]] bool isUnreachable(const ReplicaId& voter, Milliseconds timeout) const;
+    /** @return True if the process of a voter is shutting down, this replica's included. */
+    [[nodiscard]] bool isLeaving(const ReplicaId& voter) const;
+    /** @return True if the learner follows the log closely, so that it can become a voter. */
+    [[nodiscard]] bool isResponsive(const Progress& learner) const;
+    /** @return True if a learner is expected to become a voter soon. */
+    [[nodiscard]] bool hasResponsiveLearner() const;
+    /** @return The voter to replace by a learner: one that leaves, or else the one unreachable for longest. */
+    [[nodiscard]] std::optional<ReplicaId> replaceableVoter() const;
+    [[nodiscard]] TimePoint lastContactOf(const ReplicaId& voter) const;
     /** @return The membership with the learner as a voter, or nothing if the change is not needed or not allowed. */
     [[nodiscard]] std::optional<Membership> membershipWith(const ReplicaId& id, const Progress& learner);
     [[nodiscard]] std::vector<ReplicaId> peers() const;
@@ -183,6 +203,8 @@
 
     Role role = Role::Follower;
     std::optional<ReplicaId> leader;
+    /** The leader that this replica last followed; unlike `leader` not cleared by an election. */
+    std::optional<ReplicaId> lastFollowedLeader;
     TimePoint lastLeaderContact;
     TimePoint electionDeadline;
     TimePoint nextHeartbeat;
@@ -191,6 +213,9 @@
     /** Whether any leader has been known since the process started. */
     bool hasSeenLeader {};
     bool stopping {};
+    /** The leader has answered that nothing would take this replica's place. */
+    bool leaveRefused {};
+    TimePoint nextLeaveRequest;
     std::set<ReplicaId> votes;
 
     LogIndex commitIndex {};
--- a/src/zinnia/consensus/replication.cpp
+++ b/src/zinnia/consensus/replication.cpp
@@ -57,6 +57,7 @@
     }
     this->becomeFollower(header.term, header.from);
     this->hasSeenLeader = true;
+    this->lastFollowedLeader = header.from;
     this->lastLeaderContact = this->now;
     this->resetElectionTimer();
     return true;
@@ -195,8 +196,14 @@
         this->hardState.commit = index;
         this->hardStateChanged = true;
         this->report(zinnia::Event::ReplicaAdmitted, this->hardState.self, committed.index);
-        if (wasVoter && !committed.membership.contains(this->hardState.self))
+        if (wasVoter && !committed.membership.contains(this->hardState.self)) {
+            this->applyCommitted();
+            // A leader that leaves tells the others first: its successor must know the membership to be committed
+            // before it can vote.
+            if (this->role == Role::Leader)
+                this->broadcast(true);
             return this->retire(this->hardState.self, committed.index);
+        }
         if (this->role == Role::Leader)
             this->syncProgress();
     }
--- a/src/zinnia/consensus/settings.hpp
+++ b/src/zinnia/consensus/settings.hpp
@@ -34,8 +34,11 @@
      * before the others.
      */
     std::vector<InstanceId> initialVoters;
-    /** A voter without contact for this long may be replaced by another instance. */
-    Milliseconds voterReplacementDelay { 5000 };
+    /**
+     * A voter without contact for this long is replaced if a learner is available. It must leave time, within the
+     * interval between two losses that the group has to tolerate, for an election and for the membership change.
+     */
+    Milliseconds voterReplacementDelay { 2000 };
     /**
      * Bootstraps a new cluster if the data folder is empty: the replica becomes the only voter, or one of
      * `initialVoters` if they are set. Without initial voters it must be set on exactly one instance.
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -114,6 +114,8 @@
     driver.replica.self = this->settings.instance;
     driver.replica.bootstrap = this->settings.bootstrap;
     driver.replica.targetVoterCount = this->settings.voters;
+    // The other half of the time is left for an election, if the lost voter led, and for the membership change.
+    driver.replica.voterReplacementDelay = std::max(driver.replica.quorumTimeout, this->settings.catchUp / 2);
     driver.replica.initialElectionTimeoutFactor = initialElectionFactor;
     driver.replica.entriesPerSnapshot = snapshotInterval;
     driver.replica.trailingEntries = trailingEntries;
@@ -317,12 +319,14 @@
         return;
     if (this->replica)
         this->replica->stop();
-    this->continueStop(maxStopTurns);
+    // The first turn comes after the answers to the leave request and after the last messages of a leader that leaves.
+    this->loop->schedule(stopInterval, [this] { this->continueStop(maxStopTurns); });
 }
 
 void FleetProcess::continueStop(int turnsLeft)
 {
-    const bool busy = (this->replica && this->replica->pendingCount() > 0) || !this->pendingConfirmations.empty();
+    const bool busy = !this->pendingConfirmations.empty()
+        || (this->replica && (this->replica->pendingCount() > 0 || this->replica->isLeaving()));
     if (!busy || turnsLeft == 0) {
         this->loop->stop();
         return;
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -80,7 +80,10 @@
 
     /** @brief Applies reloaded settings; only the seeds can change. */
     void reload(const FleetSettings& changed);
-    /** @brief Refuses new changes and stops the loop once pending ones have a result, or after 2 s. */
+    /**
+     * @brief Refuses new changes and stops the loop once pending ones have a result and a learner, if there is one, has
+     *        taken this instance's place in the group; at the latest after 2 s.
+     */
     void stop();
 
 private:
--- a/src/zinnia/runtime/fleet_settings.cpp
+++ b/src/zinnia/runtime/fleet_settings.cpp
@@ -78,6 +78,8 @@
     TableReader group = root.table("group", true);
     // A group of 2n + 1 voters tolerates the loss of n.
     settings.voters = 2 * static_cast<std::size_t>(group.integer("lost_instances", { 0, 3 }, 1)) + 1;
+    const double catchUpSeconds = group.number("catch_up_s", { 1, 60 }, 4);
+    settings.catchUp = std::chrono::round<Milliseconds>(std::chrono::duration<double> { catchUpSeconds });
     TableReader upstreams = root.table("upstreams");
     settings.heartbeat = upstreams.milliseconds("heartbeat_ms", { Milliseconds { 10 }, Milliseconds { 60000 } });
     settings.log = readLogSettings(root);
--- a/src/zinnia/runtime/fleet_settings.hpp
+++ b/src/zinnia/runtime/fleet_settings.hpp
@@ -57,6 +57,11 @@
     bool bootstrap {};
     /** Target number of voters of the replicated log. */
     std::size_t voters = 3;
+    /**
+     * Time in which a returned or new instance catches up, so that the group has to bear the next loss. Within this
+     * time after the loss of a voter, a learner takes its place.
+     */
+    Milliseconds catchUp { 4000 };
     /** Interval at which upstreams announce themselves. */
     Milliseconds heartbeat { 1200 };
     LogSettings log;
--- a/src/zinnia/runtime/replica_driver.hpp
+++ b/src/zinnia/runtime/replica_driver.hpp
@@ -95,6 +95,8 @@
     void stop();
 
     [[nodiscard]] consensus::Status status() const { return this->replica.status(); }
+    /** @return True while a stopped replica waits for a learner to take its place among the voters. */
+    [[nodiscard]] bool isLeaving() const { return this->replica.isLeaving(); }
     /** @return The number of proposals and reads without a result. */
     [[nodiscard]] std::size_t pendingCount() const noexcept { return this->callbacks.size(); }
 
--- a/test/zinnia/consensus/dynamic_group_test.cpp
+++ b/test/zinnia/consensus/dynamic_group_test.cpp
@@ -82,6 +82,126 @@
         }
     }
 
+    /** @brief A leader, a learner that has caught up, and a voter that is neither. */
+    struct Successor {
+        std::uint32_t removed {};
+        std::uint32_t other {};
+    };
+
+    /** @brief Starts the group and, for `headStart`, instance 4 as a learner. */
+    Successor startWithSuccessor(Cluster& cluster, bool removesLeader, Milliseconds headStart)
+    {
+        startInitialVoters(cluster);
+        EXPECT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }));
+        EXPECT_TRUE(cluster.commitOne());
+        cluster.start(4);
+        cluster.runFor(headStart);
+        const std::uint32_t leader = cluster.leader();
+        return { removesLeader ? leader : leader % 3 + 1, (leader + 1) % 3 + 1 };
+    }
+
+    /** @brief A replica without its disk comes back after a second; the group must elect a leader and commit. */
+    void expectRecoveryFromALostDisk(Cluster& cluster, std::uint32_t wiped, std::uint64_t seed)
+    {
+        cluster.loseDisk(wiped);
+        cluster.runFor(Milliseconds { 1000 });
+        cluster.start(wiped);
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; })) << seed;
+        EXPECT_TRUE(cluster.commitOne()) << seed;
+        EXPECT_TRUE(cluster.runUntil([&] { return isVoter(cluster, cluster.leader(), wiped); })) << seed;
+    }
+
+    // Guards against a group that ends for good because a removed instance is still a voter when, after the time in
+    // which its successor has to catch up, another instance loses its disk.
+    TEST(DynamicGroup, ALostDiskAfterTheRemovalOfAnInstanceIsBorne)
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            Cluster cluster = makeDynamicGroup(4, seed);
+            const auto [removed, other] = startWithSuccessor(cluster, seed % 2 == 0, Milliseconds { 8000 });
+            cluster.crash(removed);
+            cluster.runFor(Milliseconds { 4000 });
+            expectRecoveryFromALostDisk(cluster, other, seed);
+        }
+    }
+
+    // Guards against a planned stop that leaves an unreachable voter behind although a learner could take its place.
+    TEST(DynamicGroup, AStoppingVoterHandsItsPlaceToALearnerBeforeItExits)
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            Cluster cluster = makeDynamicGroup(4, seed);
+            const auto [removed, other] = startWithSuccessor(cluster, seed % 2 == 0, Milliseconds { 8000 });
+            cluster.handle(removed, Stop {});
+            const Replica& stopping = *cluster.nodes.at(removed).replica;
+            EXPECT_TRUE(stopping.isLeaving()) << seed;
+            ASSERT_TRUE(cluster.runUntil([&] { return !stopping.isLeaving(); }, Milliseconds { 1000 })) << seed;
+            cluster.runFor(Milliseconds { 50 });
+            cluster.crash(removed);
+            EXPECT_EQ(cluster.reports.count(zinnia::Event::VoterReplaced), 1U) << seed;
+            expectRecoveryFromALostDisk(cluster, other, seed);
+        }
+    }
+
+    // Guards against a stop that waits for a successor where there is none.
+    TEST(DynamicGroup, AStoppingVoterDoesNotWaitWithoutALearner)
+    {
+        for (const bool stopsLeader : { false, true }) {
+            Cluster cluster = makeDynamicGroup(3, 5);
+            startInitialVoters(cluster);
+            ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }));
+            ASSERT_TRUE(cluster.commitOne());
+            const std::uint32_t leader = cluster.leader();
+            const std::uint32_t stopped = stopsLeader ? leader : leader % 3 + 1;
+            cluster.handle(stopped, Stop {});
+            const Replica& stopping = *cluster.nodes.at(stopped).replica;
+            EXPECT_TRUE(cluster.runUntil([&] { return !stopping.isLeaving(); }, Milliseconds { 300 }));
+            EXPECT_EQ(cluster.status(leader).voters.size(), 3U);
+        }
+    }
+
+    // Guards against a learner that is admitted while its process shuts down.
+    TEST(DynamicGroup, AStoppingLearnerDoesNotBecomeAVoter)
+    {
+        Cluster cluster = makeDynamicGroup(4, 6);
+        const auto [removed, other] = startWithSuccessor(cluster, false, Milliseconds { 8000 });
+        cluster.handle(4, Stop {});
+        cluster.runFor(Milliseconds { 300 });
+        cluster.crash(removed);
+        cluster.runFor(Milliseconds { 8000 });
+        EXPECT_FALSE(isVoter(cluster, cluster.leader(), 4));
+    }
+
+    // Guards against a stopped voter that is given up later although it has come back.
+    TEST(DynamicGroup, ARestartedVoterStaysAVoter)
+    {
+        Cluster cluster = makeDynamicGroup(4, 7);
+        startInitialVoters(cluster);
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }));
+        ASSERT_TRUE(cluster.commitOne());
+        const std::uint32_t stopped = cluster.leader() % 3 + 1;
+        cluster.handle(stopped, Stop {});
+        cluster.runFor(Milliseconds { 500 });
+        cluster.crash(stopped);
+        cluster.start(stopped);
+        cluster.runFor(Milliseconds { 3000 });
+        cluster.start(4);
+        cluster.runFor(Milliseconds { 10000 });
+        EXPECT_TRUE(isVoter(cluster, cluster.leader(), stopped));
+        EXPECT_FALSE(isVoter(cluster, cluster.leader(), 4));
+    }
+
+    // Guards against a learner that is cut off and still reports the leader that it last heard of.
+    TEST(DynamicGroup, ALearnerThatIsCutOffHasNoLeader)
+    {
+        Cluster cluster = makeDynamicGroup(4, 8);
+        (void)startWithSuccessor(cluster, false, Milliseconds { 8000 });
+        ASSERT_TRUE(cluster.status(4).leader.has_value());
+        cluster.isolate(4);
+        cluster.runFor(Milliseconds { 1500 });
+        EXPECT_FALSE(cluster.status(4).leader.has_value());
+        cluster.unblockLinks();
+        EXPECT_TRUE(cluster.runUntil([&] { return cluster.status(4).leader.has_value(); }));
+    }
+
     // Guards against needless membership changes when an instance is only added.
     TEST(DynamicGroup, AddedInstanceStaysLearnerWhileAllVotersAreReachable)
     {
