feed: ignore replies that a newer one has overtaken

What could be seen: a delayed or repeated reply of a control instance shows a router a leader that the instance has lost since, and moves the change number of its announcements back. Cause: replies were accepted in any order; their numbers were not used. Change: a reply counts only if none with a higher number came from the same instance and if this process has sent its request. Before: FeedClient.IgnoresRepliesThatWereOvertaken, written with the change, has no run without it.

--- a/src/zinnia/feed/feed_client.cpp
+++ b/src/zinnia/feed/feed_client.cpp
@@ -90,6 +90,9 @@
     if (found == this->controls.end())
         return std::nullopt;
     Control& control = found->second;
+    if (reply.number < control.lastReplyNumber || reply.number >= this->nextNumber)
+        return std::nullopt;
+    control.lastReplyNumber = reply.number;
     control.lastReplyAt = now;
     control.hasLeader = reply.hasLeader;
     control.tableEpoch = reply.tableEpoch;
--- a/src/zinnia/feed/feed_client.hpp
+++ b/src/zinnia/feed/feed_client.hpp
@@ -68,7 +68,8 @@
     [[nodiscard]] std::vector<InstanceId> selectedControls(TimePoint now) const;
 
     /**
-     * @brief Processes a reply.
+     * @brief Processes a reply. One that a newer reply of the same instance has overtaken, or that answers a request of
+     * an earlier start of this process, changes nothing.
      * @param revision Revision of the router's routing state after it has applied the reply.
      * @return A request for the remaining changes, if the reply did not include all of them.
      */
@@ -98,6 +99,8 @@
         TimePoint learnedAt;
         TimePoint lastRequestAt;
         TimePoint lastReplyAt;
+        /** Number of the newest reply received. */
+        std::uint64_t lastReplyNumber {};
         /** The control instance was the leader or followed one at its last reply. */
         bool hasLeader {};
         /** Process epoch of the announcement table to which `change` refers. */
--- a/test/zinnia/feed/feed_client_test.cpp
+++ b/test/zinnia/feed/feed_client_test.cpp
@@ -41,6 +41,26 @@
         EXPECT_EQ(polledControls(client.tick(0, start + Milliseconds { 100 })), (std::set { one, two, three }));
     }
 
+    // Guards against replies that arrive late, twice or after a restart: they would show a leader that is lost, and
+    // move the change number back.
+    TEST(FeedClient, IgnoresRepliesThatWereOvertaken)
+    {
+        FeedClient client { {}, { one } };
+        (void)client.tick(0, start);
+        (void)client.tick(0, start + Milliseconds { 100 });
+        FeedReply second = replyOf(3, 5, 5);
+        second.number = 2;
+        (void)client.receive(one, second, 3, start + Milliseconds { 110 });
+        FeedReply first = replyOf(3, 1, 5);
+        first.number = 1;
+        EXPECT_FALSE(client.receive(one, first, 3, start + Milliseconds { 2000 }));
+        FeedReply ofEarlierStart = replyOf(3, 1, 1);
+        ofEarlierStart.number = 500;
+        EXPECT_FALSE(client.receive(one, ofEarlierStart, 3, start + Milliseconds { 2000 }));
+        EXPECT_EQ(client.lastConfirmedAt(), start + Milliseconds { 110 });
+        EXPECT_EQ(client.tick(3, start + Milliseconds { 2000 }).front().request.change, 5U);
+    }
+
     // Guards against a router that reports ready before it has received every announcement.
     TEST(FeedClient, IsSynchronizedOnlyAfterACompleteReplyOfAnInstanceWithALeader)
     {
