upstream: a late departure does not end the next start of an upstream

Cause: a DELETE names the upstream, not its start. Held up by a partition, it was applied to the start that was known when it arrived, with the highest sequence number, so that no heartbeat could undo it. Change: a departure counts at once only if the present start has announced to drain and no earlier start was known within the retention time. Otherwise the upstream is draining until an announcement follows, and gone when its lease ends without one. Control instances exchange this as a state inferred for the last version, which routers take over. A confirmation is forgotten when the upstream is ready again, a late drain of an earlier start is not confirmed in the name of the present one, and numbers of gossip begin at the epoch of the process. Conclusion: heartbeats, which a departed upstream does not send, decide.

--- a/src/zinnia/routing/upstream_directory.cpp
+++ b/src/zinnia/routing/upstream_directory.cpp
@@ -32,9 +32,8 @@
         const auto& known = entry.announcement;
         if (!isNew && (announcement.version < known.version || upstream::keepsDraining(known, announcement)))
             continue;
-        // The `Silent` state is inferred and has the same version as the last announcement of the upstream.
         const bool isSameVersion = !isNew && announcement.version == known.version;
-        if (isSameVersion && announcement.state != upstream::AnnouncedState::Silent)
+        if (isSameVersion && !upstream::infersState(known, announcement))
             continue;
         const bool restarted = isNew || announcement.version.startedAt != known.version.startedAt;
         if (restarted)
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -54,6 +54,7 @@
     , announcementTable { announcementTableSettingsOf(settings) }
     , readDocument { api.readDocument }
     , loadTable { settings.member.zone }
+    , nextConfirmation { epoch.value }
     , lastRefresh { loop.now() }
     , leaderLastSeenAt { loop.now() }
 {
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -170,7 +170,8 @@
     TimePoint nextLoadRefreshAt;
     TimePoint nextLoadGaugesAt;
     TimePoint lastLoadReportAt;
-    std::uint64_t nextConfirmation = 1;
+    /** Starts at the epoch, so that an acknowledgement for an earlier start of this process confirms nothing. */
+    std::uint64_t nextConfirmation;
     std::map<std::uint64_t, PendingConfirmation> pendingConfirmations;
     /** The last drain or departure of each upstream that a second instance has confirmed. */
     std::map<upstream::UpstreamNumber, upstream::Announcement> confirmed;
--- a/src/zinnia/runtime/fleet_process_feed.cpp
+++ b/src/zinnia/runtime/fleet_process_feed.cpp
@@ -37,23 +37,35 @@
     // A partitioned instance records the announcement, but redirects the upstream to a connected instance.
     if (this->loop->now() - this->leaderLastSeenAt > leaderTimeout)
         return done({ CallStatus::Unavailable });
-    if (announcement.state == upstream::AnnouncedState::Draining)
+    const upstream::Announcement* current = this->announcementTable.find(announcement.number);
+    // A late drain of an earlier start has nothing left to confirm.
+    const bool isOfCurrentStart = current != nullptr && current->version.startedAt == announcement.version.startedAt;
+    if (announcement.state == upstream::AnnouncedState::Draining && isOfCurrentStart)
         return this->requestConfirmation(announcement.number, std::move(done));
     done({ CallStatus::Done });
 }
 
 void FleetProcess::depart(upstream::UpstreamNumber number, CallDone done)
 {
-    if (this->announcementTable.recordDeparture(number, this->loop->now()) == upstream::MergeResult::Changed)
-        logAnnouncement(*this->announcementTable.find(number), Milliseconds { 0 }, InstanceId {});
+    const auto outcome = this->announcementTable.recordDeparture(number, this->loop->now());
+    const upstream::Announcement* current = this->announcementTable.find(number);
+    if (outcome == upstream::MergeResult::Changed)
+        logAnnouncement(*current, Milliseconds { 0 }, InstanceId {});
+    if (outcome != upstream::MergeResult::Stale && current->state != upstream::AnnouncedState::Gone)
+        runtime::log(Event::DepartureUnconfirmed, Field { "upstream", number },
+            Field { "started_at", current->version.startedAt });
     this->requestConfirmation(number, std::move(done));
 }
 
 void FleetProcess::observe(const upstream::Announcement& announcement, Milliseconds age, InstanceId receivedFrom)
 {
     const auto outcome = this->announcementTable.merge(announcement, age, this->loop->now(), receivedFrom);
-    if (outcome == upstream::MergeResult::Changed)
-        logAnnouncement(announcement, age, receivedFrom);
+    if (outcome != upstream::MergeResult::Changed)
+        return;
+    logAnnouncement(announcement, age, receivedFrom);
+    // It has not left; its next drain or departure needs a confirmation of its own.
+    if (announcement.state == upstream::AnnouncedState::Ready)
+        this->confirmed.erase(announcement.number);
 }
 
 void FleetProcess::requestConfirmation(upstream::UpstreamNumber number, CallDone done)
--- a/src/zinnia/upstream/announcement.hpp
+++ b/src/zinnia/upstream/announcement.hpp
@@ -39,7 +39,7 @@
     /** Increases with each announcement since that start. */
     std::uint64_t sequence {};
 
-    /** Sequence number of the last announcement since a start, as none follows a departure. */
+    /** Sequence number of the last announcement since a start, as none follows a confirmed departure. */
     static constexpr std::uint64_t departureSequence = std::numeric_limits<std::uint64_t>::max();
 
     [[nodiscard]] friend constexpr auto operator<=>(const AnnouncementVersion&, const AnnouncementVersion&) = default;
@@ -81,4 +81,17 @@
         && current.version.startedAt == next.version.startedAt;
 }
 
+/**
+ * @return True if `next` has the version of `current` and a state that control instances have inferred for it: silent,
+ *         because announcements have stopped, or draining, because of a departure that may be of an earlier start.
+ */
+[[nodiscard]] inline bool infersState(const Announcement& current, const Announcement& next)
+{
+    if (next.version != current.version)
+        return false;
+    return (next.state == AnnouncedState::Silent && current.state == AnnouncedState::Ready)
+        || (next.state == AnnouncedState::Draining
+            && (current.state == AnnouncedState::Ready || current.state == AnnouncedState::Silent));
+}
+
 } // namespace zinnia::upstream
--- a/src/zinnia/upstream/announcement_table.cpp
+++ b/src/zinnia/upstream/announcement_table.cpp
@@ -32,13 +32,11 @@
     Entry& entry = found->second;
     if (!isNew && keepsDraining(entry.announcement, announcement))
         return MergeResult::Stale;
-    if (!isNew && announcement.version <= entry.announcement.version) {
-        // A report that an upstream is silent has the version of the last announcement of the upstream.
-        const bool marksSilent = announcement.state == AnnouncedState::Silent
-            && entry.announcement.state == AnnouncedState::Ready && announcement.version == entry.announcement.version;
-        if (!marksSilent)
-            return MergeResult::Stale;
-    }
+    if (!isNew && announcement.version <= entry.announcement.version && !infersState(entry.announcement, announcement))
+        return MergeResult::Stale;
+    if (!isNew && announcement.version.startedAt != entry.announcement.version.startedAt)
+        entry.restartedAt = now;
+    entry.leavingSince.reset();
     const TimePoint announcedAt = now - age;
     const TimePoint coldUntil = announcedAt + announcement.coldRemaining;
     const bool coldChanged = coldUntil > entry.coldUntil + coldTolerance && coldUntil > now;
@@ -57,12 +55,40 @@
 MergeResult AnnouncementTable::recordDeparture(UpstreamNumber number, TimePoint now)
 {
     const auto found = this->entries.find(number);
-    if (found == this->entries.end())
+    if (found == this->entries.end() || found->second.announcement.state == AnnouncedState::Gone)
         return MergeResult::Stale;
-    Announcement departure = found->second.announcement;
+    Entry& entry = found->second;
+    if (this->identifiesStart(entry, now)) {
+        this->markGone(entry, now);
+        return MergeResult::Changed;
+    }
+    entry.leavingSince = now;
+    if (entry.announcement.state == AnnouncedState::Draining)
+        return MergeResult::Renewed;
+    this->inferState(entry, AnnouncedState::Draining);
+    return MergeResult::Changed;
+}
+
+bool AnnouncementTable::identifiesStart(const Entry& entry, TimePoint now) const
+{
+    const bool mayBeOfEarlierStart = entry.restartedAt && now - *entry.restartedAt <= this->settings.retention;
+    return entry.announcement.state == AnnouncedState::Draining && !mayBeOfEarlierStart;
+}
+
+void AnnouncementTable::markGone(Entry& entry, TimePoint now)
+{
+    Announcement departure = entry.announcement;
     departure.state = AnnouncedState::Gone;
     departure.version.sequence = AnnouncementVersion::departureSequence;
-    return this->merge(departure, Milliseconds { 0 }, now);
+    (void)this->merge(departure, Milliseconds { 0 }, now);
+}
+
+void AnnouncementTable::inferState(Entry& entry, AnnouncedState state)
+{
+    entry.announcement.state = state;
+    entry.receivedFrom = InstanceId {};
+    entry.sendsRemaining = sendsPerChange;
+    entry.changeNumber = ++this->changeCount;
 }
 
 std::vector<UpstreamNumber> AnnouncementTable::expire(bool canDetectSilence, TimePoint now)
@@ -71,18 +97,16 @@
     for (auto& [number, entry] : this->entries) {
         if (!canDetectSilence)
             break;
+        const bool hasLeft = entry.leavingSince && now - *entry.leavingSince >= this->settings.lease;
         if (entry.announcement.state == AnnouncedState::Draining
-            && now - entry.announcedAt > this->settings.retention) {
-            (void)this->recordDeparture(number, now);
+            && (hasLeft || now - entry.announcedAt > this->settings.retention)) {
+            this->markGone(entry, now);
             continue;
         }
         // A draining upstream may stop its announcements; as a silent one it would get new flows if no other is left.
         if (entry.announcement.state != AnnouncedState::Ready || now - entry.announcedAt < this->settings.lease)
             continue;
-        entry.announcement.state = AnnouncedState::Silent;
-        entry.receivedFrom = InstanceId {};
-        entry.sendsRemaining = sendsPerChange;
-        entry.changeNumber = ++this->changeCount;
+        this->inferState(entry, AnnouncedState::Silent);
         silent.push_back(number);
     }
     std::erase_if(this->entries, [&](const auto& item) {
--- a/src/zinnia/upstream/announcement_table.hpp
+++ b/src/zinnia/upstream/announcement_table.hpp
@@ -2,6 +2,7 @@
 
 #include "zinnia/upstream/announcement.hpp"
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -56,11 +57,21 @@
     MergeResult merge(
         const Announcement& announcement, Milliseconds age, TimePoint now, InstanceId receivedFrom = InstanceId {});
 
-    /** @brief Marks an upstream as gone. @return Stale if the upstream is unknown. */
+    /**
+     * @brief Records that an upstream has left.
+     *
+     * A departure names the upstream and not its start, and may arrive after the upstream has started again. It counts
+     * at once for a start that has announced to drain, if no earlier start was known within the retention time.
+     * Otherwise the upstream is draining, so that it gets no new flows, and gone once its lease ends without a further
+     * announcement; an announcement shows that another start has left.
+     *
+     * @return Stale if the upstream is unknown or already gone, Renewed if its state has not changed.
+     */
     MergeResult recordDeparture(UpstreamNumber number, TimePoint now);
 
     /**
-     * @brief Marks upstreams whose lease has ended as silent, and removes gone and silent ones after the retention.
+     * @brief Marks upstreams whose lease has ended as silent, or as gone after a departure that was not confirmed, and
+     * removes gone and silent ones after the retention.
      * @param canDetectSilence If false, no lease ends: an instance that may be partitioned cannot distinguish a silent
      * upstream from the partition.
      * @return The upstreams that became silent.
@@ -95,6 +106,10 @@
         TimePoint announcedAt;
         /** End of the cold start, by the clock of this instance. */
         TimePoint coldUntil;
+        /** When this start replaced an earlier one in this table; empty if none was known. */
+        std::optional<TimePoint> restartedAt;
+        /** Time of a departure that may be of an earlier start; empty once an announcement has followed. */
+        std::optional<TimePoint> leavingSince;
         std::uint64_t changeNumber {};
         InstanceId receivedFrom;
         /** Number of calls of `takePendingGossip` that will still return it. */
@@ -102,6 +117,11 @@
     };
 
     [[nodiscard]] static AgedAnnouncement withAge(const Entry& entry, TimePoint now);
+    /** @return True if a departure can only be of the present start of the upstream. */
+    [[nodiscard]] bool identifiesStart(const Entry& entry, TimePoint now) const;
+    void markGone(Entry& entry, TimePoint now);
+    /** @brief Sets a state that this instance has inferred. */
+    void inferState(Entry& entry, AnnouncedState state);
 
     AnnouncementTableSettings settings;
     std::unordered_map<UpstreamNumber, Entry> entries;
--- a/test/zinnia/routing/flow_router_test.cpp
+++ b/test/zinnia/routing/flow_router_test.cpp
@@ -403,6 +403,24 @@
         EXPECT_EQ(fixture.send(Fixture::openingOf(2)).action, PacketAction::Forward);
     }
 
+    // Guards against routers that ignore a departure in doubt, as it has the version of the last announcement, or that
+    // do not use the upstream again when an announcement shows that it has not left.
+    TEST(UpstreamDirectory, ADepartureInDoubtLastsUntilTheNextAnnouncement)
+    {
+        UpstreamDirectory directory;
+        const TimePoint now { Seconds { 1000 } };
+        const auto stateAfter = [&](AnnouncedState state, std::uint64_t sequence) {
+            const auto announcement = makeAnnouncement(1, "logger", "a", state, sequence);
+            (void)directory.merge({ announcement }, now);
+            return directory.all().begin()->second.announcement.state;
+        };
+        EXPECT_EQ(stateAfter(AnnouncedState::Ready, 4), AnnouncedState::Ready);
+        EXPECT_EQ(stateAfter(AnnouncedState::Draining, 4), AnnouncedState::Draining);
+        EXPECT_EQ(stateAfter(AnnouncedState::Ready, 4), AnnouncedState::Draining);
+        EXPECT_EQ(stateAfter(AnnouncedState::Silent, 4), AnnouncedState::Draining);
+        EXPECT_EQ(stateAfter(AnnouncedState::Ready, 5), AnnouncedState::Ready);
+    }
+
     // A zone is withdrawn while the upstreams of the others drain and have stopped their announcements. Guards against
     // flows that are opened at a leaving upstream (soak seed 903).
     TEST(FlowRouter, RefusesRatherThanUseADrainingUpstreamThatIsReportedSilent)
