runtime: many requests on one connection no longer end the process

Cause: an answer that is given at once handled the next request from within the handler of the one before, one level of the stack for each. Change: requests of a connection are handled in a loop, and the bytes of the handled ones are removed once instead of once each. Before: HttpListenerTest.HandlesManyPipelinedRequestsWithoutNesting ended with signal 11 on the old listener. After: passes, as do the other tests of the listener.

--- a/src/zinnia/runtime/http_listener.cpp
+++ b/src/zinnia/runtime/http_listener.cpp
@@ -75,10 +75,14 @@
 struct HttpListener::Connection {
     int descriptor = -1;
     std::string input;
+    /** Bytes of `input` that belong to handled requests; removed once for all requests that have arrived together. */
+    std::size_t handledBytes {};
     std::string output;
     std::optional<Head> head;
     TimePoint lastUse;
     bool awaitingResponse {};
+    /** Whether its requests are being handled further up the call stack. */
+    bool processing {};
     bool closing {};
     /** Whether the loop watches the socket for writability. */
     bool watchesWritable {};
@@ -181,22 +185,38 @@
 
 void HttpListener::processRequests(std::uint64_t number)
 {
+    // Responses that the handler gives at once must not nest: a client may send any number of requests at a time.
     const auto found = this->connections.find(number);
-    if (found == this->connections.end())
+    if (found == this->connections.end() || std::exchange(found->second->processing, true))
         return;
+    while (this->processNextRequest(number)) { }
+    // The connection may have been closed meanwhile.
+    if (const auto remaining = this->connections.find(number); remaining != this->connections.end()) {
+        Connection& connection = *remaining->second;
+        connection.processing = false;
+        connection.input.erase(0, std::exchange(connection.handledBytes, 0));
+    }
+}
+
+bool HttpListener::processNextRequest(std::uint64_t number)
+{
+    const auto found = this->connections.find(number);
+    if (found == this->connections.end())
+        return false;
     Connection& connection = *found->second;
     if (connection.awaitingResponse || connection.closing)
-        return;
+        return false;
     if (!connection.head) {
-        const auto end = connection.input.find(headerEnd);
-        const bool tooLarge = (end == std::string::npos ? connection.input.size() : end) > this->settings.headerBytes;
+        const std::string_view pending = std::string_view { connection.input }.substr(connection.handledBytes);
+        const auto end = pending.find(headerEnd);
+        const bool tooLarge = (end == std::string::npos ? pending.size() : end) > this->settings.headerBytes;
         if (end == std::string::npos && !tooLarge)
-            return;
+            return false;
         Head head;
         if (tooLarge)
             head.status = http_status::headerTooLarge;
         else
-            head = parseHead(std::string_view { connection.input }.substr(0, end + headerEnd.size()));
+            head = parseHead(pending.substr(0, end + headerEnd.size()));
         if (head.bodyBytes > this->settings.bodyBytes)
             head.status = http_status::contentTooLarge;
         if (head.status != http_status::ok) {
@@ -204,16 +224,17 @@
             // Bytes after a refused head cannot be distinguished from a new request.
             connection.closing = true;
             connection.awaitingResponse = true;
-            return this->respond(number, HttpResponse::text(head.status, "refused\n"));
+            this->respond(number, HttpResponse::text(head.status, "refused\n"));
+            return false;
         }
-        connection.input.erase(0, end + headerEnd.size());
+        connection.handledBytes += end + headerEnd.size();
         connection.head = std::move(head);
     }
-    if (connection.input.size() < connection.head->bodyBytes)
-        return;
+    if (connection.input.size() - connection.handledBytes < connection.head->bodyBytes)
+        return false;
     HttpRequest request = std::move(connection.head->request);
-    request.body = connection.input.substr(0, connection.head->bodyBytes);
-    connection.input.erase(0, connection.head->bodyBytes);
+    request.body = connection.input.substr(connection.handledBytes, connection.head->bodyBytes);
+    connection.handledBytes += connection.head->bodyBytes;
     connection.closing = !connection.head->keepAlive;
     connection.head.reset();
     connection.awaitingResponse = true;
@@ -222,6 +243,7 @@
         if (*owner != nullptr)
             (*owner)->respond(number, response);
     });
+    return true;
 }
 
 void HttpListener::respond(std::uint64_t number, const HttpResponse& response)
--- a/src/zinnia/runtime/http_listener.hpp
+++ b/src/zinnia/runtime/http_listener.hpp
@@ -57,7 +57,10 @@
     void accept();
     void onReady(std::uint64_t number, Readiness readiness);
     void readFrom(std::uint64_t number);
+    /** @brief Handles the requests that have arrived, one after the other, until one has to wait for its response. */
     void processRequests(std::uint64_t number);
+    /** @return True if a request was passed to the handler; false if the next one has not arrived completely. */
+    bool processNextRequest(std::uint64_t number);
     void respond(std::uint64_t number, const HttpResponse& response);
     void flush(std::uint64_t number);
     void close(std::uint64_t number);
--- a/test/zinnia/runtime/http_listener_test.cpp
+++ b/test/zinnia/runtime/http_listener_test.cpp
@@ -144,5 +144,45 @@
             close(fd);
     }
 
+    // Guards against a process that ends because one client sends many requests without waiting for the answers: each
+    // answer that is given at once must not nest in the one before.
+    TEST_F(HttpListenerTest, HandlesManyPipelinedRequestsWithoutNesting)
+    {
+        this->start();
+        this->listener.reset();
+        std::size_t handled = 0;
+        auto created = HttpListener::create(
+            *this->loop, { .address = { 0x7F000001, 0 } }, [&](const HttpRequest&, const HttpResponder& respond) {
+                ++handled;
+                respond(HttpResponse::text(http_status::ok, ""));
+            });
+        ASSERT_TRUE(created);
+        this->listener = std::move(created.value());
+        const int fd = this->connectClient();
+        std::string requests;
+        for (int i = 0; i < 1000; ++i)
+            requests += "GET / HTTP/1.1\r\n\r\n";
+        const std::size_t size = requests.size() / 1000;
+        std::size_t sent = 0;
+        // As many as the buffers of the connection hold, before the listener reads the first.
+        for (std::string rest = requests; sent < 150000 * size;) {
+            const ssize_t count = send(fd, rest.data(), rest.size(), MSG_DONTWAIT);
+            if (count < 0)
+                break;
+            sent += static_cast<std::size_t>(count);
+            rest.erase(0, static_cast<std::size_t>(count));
+            if (rest.empty())
+                rest = requests;
+        }
+        const std::size_t complete = sent / size;
+        ASSERT_GT(complete, 30000U);
+        for (int turn = 0; turn < 500 && handled < complete; ++turn) {
+            this->runTurns(1);
+            while (!readSome(fd).empty()) { }
+        }
+        EXPECT_EQ(handled, complete);
+        ::close(fd);
+    }
+
 } // namespace
 } // namespace zinnia::runtime
