runtime: shorten long fields of log lines

Values that other processes send were logged in full, up to 70,000 characters a line. Fields end after 1,024 bytes. Before: Logger.ShortensLongFields failed. After: passes.

--- a/src/zinnia/runtime/logger.cpp
+++ b/src/zinnia/runtime/logger.cpp
@@ -98,6 +98,11 @@
 
     void appendField(std::string& line, std::string_view key, std::string_view value)
     {
+        constexpr std::size_t maxFieldBytes = 1024;
+        constexpr std::string_view omission = "...";
+        if (value.size() > maxFieldBytes)
+            return appendField(
+                line, key, std::string { value.substr(0, maxFieldBytes - omission.size()) }.append(omission));
         line += ' ';
         line += key;
         line += '=';
--- a/test/zinnia/runtime/logger_test.cpp
+++ b/test/zinnia/runtime/logger_test.cpp
@@ -35,6 +35,20 @@
             R"(Z WARN 1700 MessageRefused reason=bad_tag from=7 text="a\x0ab \"c\"")");
     }
 
+    // Guards against log lines as long as whatever another process has sent.
+    TEST(Logger, ShortensLongFields)
+    {
+        const std::string file = testing::TempDir() + "zinnia_logger_test.log";
+        std::remove(file.c_str());
+        ASSERT_TRUE(startLog({ LogLevel::Info, file }));
+        log(Event::MessageRefused, Field { "text", std::string(70000, 'x') }, Field { "from", InstanceId { 7 } });
+        const auto lines = linesOf(file);
+        ASSERT_TRUE(startLog({ LogLevel::Error, "" }));
+        ASSERT_EQ(lines.size(), 1U);
+        EXPECT_LT(lines[0].size(), 1200U);
+        EXPECT_NE(lines[0].find("xxx... from=7"), std::string::npos);
+    }
+
     // Guards against silently logging nowhere.
     TEST(Logger, ReportsAFileThatCannotBeWritten)
     {
