platform: numbers of another writer do not overflow durations

What could be seen: a configuration with an idle time-out of 9e18 ms ended each flow at once, and a cold start of 1e300 ms became an arbitrary time. Cause: such numbers are in the range of the JSON type and were converted to durations that cannot be compared in microseconds. Deep nesting, ports out of range, and numbers too large for their type were refused before; the tests say so now, for announcements and configurations.

--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/packet_codec.hpp"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace zinnia::platform {
 namespace {
@@ -148,6 +149,31 @@
         EXPECT_TRUE(config::validate(table));
     }
 
+    // Guards against an odd entry of another writer that ends the process or is stored with values that cannot be
+    // calculated with.
+    TEST(CallCodec, RefusesOddAnnouncements)
+    {
+        const auto with = [](const std::string& key, const std::string& value) {
+            nlohmann::json body = nlohmann::json::parse(sampleAnnouncement);
+            body[key] = "REPLACED";
+            std::string text = body.dump();
+            return readAnnouncement("i-7f3a91c2", text.replace(text.find("\"REPLACED\""), 10, value));
+        };
+        ASSERT_TRUE(with("slots", "3"));
+        std::string nested(200000, '[');
+        nested += std::string(200000, ']');
+        for (const std::string key : { "service", "address", "slots", "state", "cold_remaining_ms", "seq", "born" }) {
+            for (const std::string& value : { nested, std::string { "1e999" }, std::string { "-1" },
+                     std::string { "99999999999999999999999" }, std::string { "null" }, std::string { "\"\xff\"" } })
+                EXPECT_FALSE(with(key, value)) << key << " " << value.substr(0, 30);
+        }
+        for (const std::string address : { "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:", "10.0.0.1", "10.0.0.256:80" })
+            EXPECT_FALSE(with("address", "\"" + address + "\"")) << address;
+        EXPECT_FALSE(with("cold_remaining_ms", "1e300"));
+        EXPECT_FALSE(with("slots", "4294967296"));
+        EXPECT_FALSE(readAnnouncement("i-7f3a91c2", nested));
+    }
+
     // Guards against a configuration that is refused because of its latency objective, which was not read before.
     TEST(CallCodec, ReadsTheLatencyObjectiveLeniently)
     {
@@ -246,6 +272,32 @@
         return result;
     }
 
+    // Guards against a configuration with an odd value that ends the process, or whose time-outs overflow and so end
+    // every flow at once.
+    TEST(CallCodec, ReadsOddConfigurationsSafely)
+    {
+        const auto with = [](const std::string& pointer, const std::string& value) {
+            nlohmann::json body = nlohmann::json::parse(sampleRoutes);
+            body[nlohmann::json::json_pointer { pointer }] = "REPLACED";
+            std::string text = body.dump();
+            return readRoutes(text.replace(text.find("\"REPLACED\""), 10, value));
+        };
+        const std::string nested = std::string(200000, '[') + std::string(200000, ']');
+        for (const std::string pointer : { "/version", "/routes/0/host", "/routes/0/path_prefix", "/routes/0/type",
+                 "/services/0/max_flows", "/services/0/cold_start_s", "/limits/idle_timeout_ms" }) {
+            for (const std::string& value :
+                { nested, std::string { "1e999" }, std::string { "-1" }, std::string { "null" } })
+                EXPECT_FALSE(with(pointer, value)) << pointer << " " << value.substr(0, 30);
+        }
+        EXPECT_FALSE(with("/routes/0/path_prefix", "\"/65536/\""));
+        const auto longIdle = with("/limits/idle_timeout_ms", "9223372036854775807");
+        ASSERT_TRUE(longIdle);
+        EXPECT_EQ(longIdle.value().table.flowIdleTimeout, Milliseconds { 24LL * 3600 * 1000 });
+        const auto longStart = with("/services/0/cold_start_s", "1e300");
+        ASSERT_TRUE(longStart);
+        EXPECT_EQ(longStart.value().table.services[0].coldStart, Milliseconds { 24LL * 3600 * 1000 });
+    }
+
     // Guards against requests that are dispatched to the wrong function.
     TEST(ControlCalls, TranslatesEachCall)
     {
