runtime: one odd entry does not keep routers from learning the others

Cause: announcements were stored and passed on without bounds, and a reply that exceeds a datagram was dropped without a word, each time anew. Change: bounds of announcements at their arrival, in gossip and in the saved state; a capacity of the table; replies to routers and gossip divided by their encoded size; a routing state that fits into no message is left out and does not hold up the rest. What is not sent is logged and counted. Conclusion: no entry decides whether the others are sent.

--- a/src/zinnia/config/route_table.cpp
+++ b/src/zinnia/config/route_table.cpp
@@ -1,5 +1,7 @@
 #include "zinnia/config/route_table.hpp"
 
+#include "zinnia/upstream/announcement_limits.hpp"
+
 #include <algorithm>
 #include <unordered_set>
 
@@ -32,6 +34,9 @@
         return RouteTableError { RouteTableErrorCode::NoVersion, "version" };
     std::unordered_set<std::string> services;
     for (const auto& service : table.services) {
+        // No upstream can announce itself for it.
+        if (service.name.size() > upstream::maxNameBytes)
+            return RouteTableError { RouteTableErrorCode::NameTooLong, service.name.substr(0, upstream::maxNameBytes) };
         if (!services.insert(service.name).second)
             return RouteTableError { RouteTableErrorCode::DuplicateService, service.name };
     }
--- a/src/zinnia/config/route_table.hpp
+++ b/src/zinnia/config/route_table.hpp
@@ -104,9 +104,10 @@
     NoTimeout,
     NoService,
     NoWeight,
+    NameTooLong,
 };
 
-inline constexpr NameTable<RouteTableErrorCode, 7> routeTableErrorCodeNames { {
+inline constexpr NameTable<RouteTableErrorCode, 8> routeTableErrorCodeNames { {
     { RouteTableErrorCode::NoVersion, "no_version" },
     { RouteTableErrorCode::UnknownService, "unknown_service" },
     { RouteTableErrorCode::DuplicateService, "duplicate_service" },
@@ -114,6 +115,7 @@
     { RouteTableErrorCode::NoTimeout, "no_timeout" },
     { RouteTableErrorCode::NoService, "no_service" },
     { RouteTableErrorCode::NoWeight, "no_weight" },
+    { RouteTableErrorCode::NameTooLong, "name_too_long" },
 } };
 static_assert(isDense(routeTableErrorCodeNames));
 
--- a/src/zinnia/core/event.hpp
+++ b/src/zinnia/core/event.hpp
@@ -332,7 +332,7 @@
         Event::CoapMessageRefused, LogLevel::Debug, "CoapMessageRefused", "a datagram was not a valid CoAP message" },
     EventRow { Event::ProxyHeaderRefused, LogLevel::Debug, "ProxyHeaderRefused",
         "a datagram had no valid PROXY protocol header" },
-    EventRow { Event::MessageTooLarge, LogLevel::Error, "MessageTooLarge",
+    EventRow { Event::MessageTooLarge, LogLevel::Warning, "MessageTooLarge",
         "a message, or a part of one, was not sent because it exceeds the size limit" },
     EventRow { Event::OperatorCommand, LogLevel::Info, "OperatorCommand", "an operator has sent a command" },
     EventRow { Event::OperatorRefused, LogLevel::Warning, "OperatorRefused",
--- a/src/zinnia/runtime/fleet_link.cpp
+++ b/src/zinnia/runtime/fleet_link.cpp
@@ -39,8 +39,14 @@
     }
 }
 
-std::size_t FleetLink::sendBytes(const Endpoint& to, wire::MessageKind kind, BytesView body)
+std::size_t FleetLink::sendEncoded(const Endpoint& to, wire::MessageKind kind, BytesView body)
 {
+    if (body.size() > maxMessageBytes) {
+        ++this->oversizedCount;
+        log(Event::MessageTooLarge, Field { "kind", static_cast<unsigned>(kind) }, Field { "bytes", body.size() },
+            Field { "limit", maxMessageBytes }, Field { "to", to });
+        return 0;
+    }
     const Bytes sealed = this->sealer->seal(kind, body);
     this->sender.add(this->socket.descriptor(), to, sealed, {});
     this->sender.flush();
--- a/src/zinnia/runtime/fleet_link.hpp
+++ b/src/zinnia/runtime/fleet_link.hpp
@@ -13,6 +13,9 @@
 
 namespace zinnia::runtime {
 
+/** @brief Maximum size of an encoded message that fits into a datagram. Unit: bytes. */
+inline constexpr std::size_t maxMessageBytes = wire::maxDatagramBytes - wire::envelopeBytes;
+
 /** @brief Sends and receives sealed datagrams between the processes of a fleet, which all use the same port. */
 class FleetLink {
 public:
@@ -32,20 +35,25 @@
      */
     template <class Message> std::size_t send(InstanceId to, wire::MessageKind kind, const Message& message)
     {
-        return this->sendBytes(
+        return this->sendEncoded(
             Endpoint { this->member->addressOf(to), this->member->ports.feed }, kind, wire::encode(message));
     }
     template <class Message> void reply(const Endpoint& to, wire::MessageKind kind, const Message& message)
     {
-        this->sendBytes(to, kind, wire::encode(message));
+        this->sendEncoded(to, kind, wire::encode(message));
     }
+    /** @brief As `send`, for an encoded message. One of more than `maxMessageBytes` is logged and not sent. */
+    std::size_t sendEncoded(const Endpoint& to, wire::MessageKind kind, BytesView body);
+
+    /** @return Number of messages that were not sent because of their size. */
+    [[nodiscard]] std::uint64_t oversizedMessages() const noexcept { return this->oversizedCount; }
+    /** @return Number of datagrams that the socket did not take. */
+    [[nodiscard]] std::uint64_t droppedDatagrams() const noexcept { return this->sender.dropped(); }
 
 private:
     FleetLink(Poller& poller, const FleetMember& member, UdpSocket socket, const ClusterSettings& cluster,
         wire::Sealer& sealer, Handler handler);
     void receive();
-    std::size_t sendBytes(const Endpoint& to, wire::MessageKind kind, BytesView body);
-
     Poller* poller;
     UdpSocket socket;
     const FleetMember* member;
@@ -54,6 +62,7 @@
     Handler handler;
     DatagramReceiver receiver;
     DatagramSender sender;
+    std::uint64_t oversizedCount {};
 };
 
 } // namespace zinnia::runtime
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -2,6 +2,8 @@
 
 #include "zinnia/runtime/logger.hpp"
 #include "zinnia/runtime/metrics_listener.hpp"
+#include "zinnia/upstream/announcement_limits.hpp"
+#include "zinnia/wire/archive.hpp"
 
 #include <algorithm>
 
@@ -22,6 +24,10 @@
     /** Each log entry holds a complete route table, so a small interval keeps the replay after a restart short. */
     constexpr std::uint64_t snapshotInterval = 64;
     constexpr std::uint64_t trailingEntries = 32;
+    /** Part of a reply to a router that a new route table has to leave free for withdrawn zones. Unit: bytes. */
+    constexpr std::size_t routesReserve = 1024;
+    /** The same for a new withdrawn zone: the other fields of the reply need it. Unit: bytes. */
+    constexpr std::size_t withdrawalReserve = 256;
     constexpr Milliseconds stopInterval { 50 };
     /** Unit: stop intervals; 2 s in all. */
     constexpr int maxStopTurns = 40;
@@ -198,13 +204,45 @@
         return { CallStatus::NotLeader, other->leader };
     if (std::holds_alternative<consensus::OutcomeUnknown>(result))
         return { CallStatus::OutcomeUnknown };
+    const auto* refused = std::get_if<consensus::Refused>(&result);
+    if (refused != nullptr && refused->cause == consensus::RefusalCause::TooLarge)
+        return { CallStatus::TooLarge, {}, "the change exceeds the size of a log entry" };
     return { CallStatus::Unavailable };
 }
 
+std::optional<CallResult> FleetProcess::refusalOf(const config::FleetCommand& command) const
+{
+    const auto* zone = std::get_if<config::SetZoneWithdrawn>(&command);
+    const auto* routes = std::get_if<config::InstallRoutes>(&command);
+    if (zone != nullptr && zone->withdrawn && zone->zone.size() > upstream::maxNameBytes)
+        return CallResult { CallStatus::Invalid, {}, "the name of the zone is too long" };
+    if (this->replica->status().role != consensus::Role::Leader)
+        return std::nullopt;
+    const config::FleetState& state = this->log.state();
+    if (routes != nullptr && routes->table.version <= state.routes().version)
+        return std::nullopt;
+    if (zone != nullptr && !zone->withdrawn)
+        return std::nullopt;
+    std::vector<std::string> withdrawn = state.withdrawnZones();
+    if (zone != nullptr && std::find(withdrawn.begin(), withdrawn.end(), zone->zone) == withdrawn.end())
+        withdrawn.push_back(zone->zone);
+    const config::RouteTable& table = routes != nullptr ? routes->table : state.routes();
+    const std::size_t size = wire::encode(feed::makeRoutingState(table, withdrawn, 0)).size();
+    const std::size_t limit = maxMessageBytes - (routes != nullptr ? routesReserve : withdrawalReserve);
+    if (size <= limit)
+        return std::nullopt;
+    return CallResult { CallStatus::TooLarge, {},
+        "routers would need " + std::to_string(size) + " bytes, of at most " + std::to_string(limit) };
+}
+
 void FleetProcess::change(config::FleetCommand command, CallDone done)
 {
     if (!this->replica)
         return done({ CallStatus::Unavailable });
+    if (const auto refusal = this->refusalOf(command)) {
+        runtime::log(Event::RoutesRefused, Field { "problem", refusal->detail });
+        return done(*refusal);
+    }
     this->replica->propose(FleetLog::encode(command),
         [this, done = std::move(done), start = this->loop->now()](const consensus::ProposalResult& proposal) {
             const CallResult result = this->resultOf(proposal);
@@ -277,6 +315,8 @@
     this->restartReplica();
     if (!this->replica)
         return;
+    this->metrics.gauge({ "zinnia_messages_oversized" }).set(static_cast<double>(this->link->oversizedMessages()));
+    this->metrics.gauge({ "zinnia_datagrams_dropped" }).set(static_cast<double>(this->link->droppedDatagrams()));
     const consensus::Status status = this->replica->status();
     this->rememberVoters(status);
     this->metrics.gauge({ "zinnia_control_is_leader" }).set(status.role == consensus::Role::Leader ? 1 : 0);
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -112,7 +112,13 @@
     void receive(InstanceId sender, const feed::FeedRequest& message, const Endpoint& source);
     void receive(InstanceId sender, const load::LoadReport& message, const Endpoint& source);
     void receive(InstanceId sender, const load::ZoneSummary& message, const Endpoint& source);
-    void observe(const upstream::Announcement& announcement, Milliseconds age, InstanceId receivedFrom);
+    /** @brief Merges an announcement within its bounds into the table and logs a change. */
+    upstream::MergeResult observe(
+        const upstream::Announcement& announcement, Milliseconds age, InstanceId receivedFrom);
+    /** @brief Sends gossip, in several messages if it does not fit into one. */
+    void sendGossip(InstanceId peer, const feed::Gossip& message);
+    /** @return Why a change must not be proposed: it could never be sent to routers. Nothing if it can be. */
+    [[nodiscard]] std::optional<CallResult> refusalOf(const config::FleetCommand& command) const;
     void requestConfirmation(upstream::UpstreamNumber number, CallDone done);
     void finishConfirmation(std::uint64_t number, CallStatus status);
     void gossip();
--- a/src/zinnia/runtime/fleet_process_feed.cpp
+++ b/src/zinnia/runtime/fleet_process_feed.cpp
@@ -1,6 +1,10 @@
 #include "zinnia/feed/gossip_relay.hpp"
+#include "zinnia/runtime/feed_encoding.hpp"
 #include "zinnia/runtime/fleet_process.hpp"
 #include "zinnia/runtime/logger.hpp"
+#include "zinnia/upstream/announcement_limits.hpp"
+
+#include <algorithm>
 
 namespace zinnia::runtime {
 
@@ -33,7 +37,13 @@
 
 void FleetProcess::announce(const upstream::Announcement& announcement, CallDone done)
 {
-    this->observe(announcement, Milliseconds { 0 }, InstanceId {});
+    if (const auto fault = upstream::findFault(announcement)) {
+        runtime::log(
+            Event::AnnouncementRefused, Field { "upstream", announcement.number }, Field { "problem", *fault });
+        return done({ CallStatus::Invalid, {}, std::string { nameOf(*fault) } });
+    }
+    if (this->observe(announcement, Milliseconds { 0 }, InstanceId {}) == upstream::MergeResult::TableFull)
+        return done({ CallStatus::Unavailable });
     // A partitioned instance records the announcement, but redirects the upstream to a connected instance.
     if (this->loop->now() - this->leaderLastSeenAt > leaderTimeout)
         return done({ CallStatus::Unavailable });
@@ -57,15 +67,22 @@
     this->requestConfirmation(number, std::move(done));
 }
 
-void FleetProcess::observe(const upstream::Announcement& announcement, Milliseconds age, InstanceId receivedFrom)
+upstream::MergeResult FleetProcess::observe(
+    const upstream::Announcement& announcement, Milliseconds age, InstanceId receivedFrom)
 {
+    // An instance of an earlier release, or a file that it has written, may hold what is refused now.
+    if (upstream::findFault(announcement))
+        return upstream::MergeResult::Stale;
     const auto outcome = this->announcementTable.merge(announcement, age, this->loop->now(), receivedFrom);
+    if (outcome == upstream::MergeResult::TableFull)
+        runtime::log(Event::AnnouncementTableFull, Field { "upstream", announcement.number });
     if (outcome != upstream::MergeResult::Changed)
-        return;
+        return outcome;
     logAnnouncement(announcement, age, receivedFrom);
     // It has not left; its next drain or departure needs a confirmation of its own.
     if (announcement.state == upstream::AnnouncedState::Ready)
         this->confirmed.erase(announcement.number);
+    return outcome;
 }
 
 void FleetProcess::requestConfirmation(upstream::UpstreamNumber number, CallDone done)
@@ -85,7 +102,14 @@
     const feed::Gossip message { confirmationNumber, this->epoch, this->peerTable.live(this->loop->now()),
         { { *current, Milliseconds { 0 } } }, {} };
     for (const auto& peer : peers)
-        this->link->send(peer, wire::MessageKind::Gossip, message);
+        this->sendGossip(peer, message);
+}
+
+void FleetProcess::sendGossip(InstanceId peer, const feed::Gossip& message)
+{
+    const Endpoint to { this->settings.member.addressOf(peer), this->settings.member.ports.feed };
+    for (const Bytes& part : encodeGossip(message, maxMessageBytes))
+        this->link->sendEncoded(to, wire::MessageKind::Gossip, part);
 }
 
 void FleetProcess::finishConfirmation(std::uint64_t number, CallStatus status)
@@ -139,8 +163,8 @@
         this->link->reply(source, wire::MessageKind::GossipAck, feed::GossipAck { message.number });
     if (change != feed::PeerChange::Known) {
         runtime::log(Event::PeerAlive, Field { "instance", sender });
-        this->link->send(sender, wire::MessageKind::Gossip,
-            feed::Gossip { 0, this->epoch, this->peerTable.live(now), this->announcementTable.all(now), {} });
+        this->sendGossip(
+            sender, feed::Gossip { 0, this->epoch, this->peerTable.live(now), this->announcementTable.all(now), {} });
     }
     if (learned || change == feed::PeerChange::Appeared)
         this->setPeers();
@@ -169,11 +193,19 @@
         reply.state = this->routing();
     reply.tableEpoch = this->epoch;
     const std::uint64_t since = message.tableEpoch == this->epoch ? message.change : 0;
-    reply.announcements = this->announcementTable.changedSince(since, announcementsPerReply, reply.change, now);
     reply.lastChange = this->announcementTable.lastChange();
     reply.controls = this->peerTable.live(now);
     reply.suspicions = this->suspicions.current(now);
-    this->link->reply(source, wire::MessageKind::FeedReply, reply);
+    const FeedPage page
+        = encodeFeedReply(std::move(reply), maxMessageBytes, [&](std::size_t limit, std::uint64_t& upTo) {
+              return this->announcementTable.changedSince(since, std::min(limit, announcementsPerReply), upTo, now);
+          });
+    if (page.omittedStateBytes > 0) {
+        this->metrics.counter({ "zinnia_routing_state_omitted_total" }).add();
+        runtime::log(Event::MessageTooLarge, Field { "part", "routing_state" },
+            Field { "bytes", page.omittedStateBytes }, Field { "limit", maxMessageBytes }, Field { "to", sender });
+    }
+    this->link->sendEncoded(source, wire::MessageKind::FeedReply, page.bytes);
 }
 
 void FleetProcess::loadSnapshot()
@@ -184,12 +216,12 @@
         return;
     const auto snapshot = wire::decode<feed::FeedSnapshot>(*content);
     if (!snapshot)
-        return;
+        return runtime::log(Event::SnapshotRefused, Field { "file", snapshotName });
     this->savedState = snapshot.value().state;
     const TimePoint now = this->loop->now();
     // Each upstream gets a full lease to announce itself again, however much of it had passed before the restart.
     for (const auto& [announcement, age] : snapshot.value().announcements) {
-        if (announcement.state != upstream::AnnouncedState::Silent)
+        if (announcement.state != upstream::AnnouncedState::Silent && !upstream::findFault(announcement))
             (void)this->announcementTable.merge(announcement, Milliseconds { 0 }, now);
     }
     runtime::log(Event::MemoryRecalled, Field { "revision", this->savedState.revision },
@@ -221,7 +253,7 @@
     feed::Gossip message { 0, this->epoch, this->peerTable.live(now), {}, this->suspicions.current(now) };
     for (const auto& peer : this->peerTable.peers()) {
         message.announcements = feed::announcementsFor(peer, fresh, this->peerTable);
-        this->link->send(peer, wire::MessageKind::Gossip, message);
+        this->sendGossip(peer, message);
     }
 }
 
--- a/src/zinnia/runtime/fleet_service.hpp
+++ b/src/zinnia/runtime/fleet_service.hpp
@@ -19,13 +19,19 @@
     OutcomeUnknown,
     /** The call has no effect; another instance may be able to handle it. */
     Unavailable,
+    /** The call has no effect: a value in it is out of bounds. */
+    Invalid,
+    /** The call has no effect: its content exceeds what can be stored, or sent to routers. */
+    TooLarge,
 };
 
-inline constexpr NameTable<CallStatus, 4> callStatusNames { {
+inline constexpr NameTable<CallStatus, 6> callStatusNames { {
     { CallStatus::Done, "done" },
     { CallStatus::NotLeader, "not_leader" },
     { CallStatus::OutcomeUnknown, "outcome_unknown" },
     { CallStatus::Unavailable, "unavailable" },
+    { CallStatus::Invalid, "invalid" },
+    { CallStatus::TooLarge, "too_large" },
 } };
 static_assert(isDense(callStatusNames));
 
@@ -35,6 +41,8 @@
     CallStatus status {};
     /** The leader, if it is known; only with `NotLeader`. */
     std::optional<InstanceId> leader {};
+    /** What is out of bounds; only with `Invalid` and `TooLarge`. */
+    std::string detail {};
 };
 
 /** @brief The document of the active route table; absent if none has been installed. */
--- a/src/zinnia/runtime/stream_server.cpp
+++ b/src/zinnia/runtime/stream_server.cpp
@@ -1,5 +1,7 @@
 #include "zinnia/runtime/stream_server.hpp"
 
+#include "zinnia/core/reasons.hpp"
+#include "zinnia/runtime/logger.hpp"
 #include "zinnia/runtime/socket_address.hpp"
 
 #include <netinet/in.h>
@@ -68,6 +70,8 @@
     const std::uint64_t number = this->nextConnection++;
     Http2Connection::Callbacks callbacks;
     callbacks.onBody = [this, number](std::int32_t stream, bool accepted, const Bytes& body) {
+        if (!accepted)
+            log(Event::MessageRefused, Field { "reason", RefusalReason::Malformed }, Field { "bytes", body.size() });
         auto answer = accepted ? this->handler(body) : std::nullopt;
         this->connections.at(number)->answer(stream, std::move(answer));
     };
--- a/src/zinnia/upstream/announcement_table.cpp
+++ b/src/zinnia/upstream/announcement_table.cpp
@@ -16,6 +16,11 @@
         return std::chrono::duration_cast<Milliseconds>(std::max(to - from, Microseconds { 0 }));
     }
 
+    bool hasEnded(const Announcement& announcement)
+    {
+        return announcement.state == AnnouncedState::Gone || announcement.state == AnnouncedState::Silent;
+    }
+
     bool hasSameContent(const Announcement& left, const Announcement& right)
     {
         return left.service == right.service && left.address == right.address && left.zone == right.zone
@@ -28,6 +33,9 @@
 MergeResult AnnouncementTable::merge(
     const Announcement& announcement, Milliseconds age, TimePoint now, InstanceId receivedFrom)
 {
+    const bool isFull = this->entries.size() >= this->settings.capacity && !this->entries.contains(announcement.number);
+    if (isFull && !this->removeOldestEnded())
+        return MergeResult::TableFull;
     const auto [found, isNew] = this->entries.try_emplace(announcement.number);
     Entry& entry = found->second;
     if (!isNew && keepsDraining(entry.announcement, announcement))
@@ -91,6 +99,20 @@
     entry.changeNumber = ++this->changeCount;
 }
 
+bool AnnouncementTable::removeOldestEnded()
+{
+    auto oldest = this->entries.end();
+    for (auto entry = this->entries.begin(); entry != this->entries.end(); ++entry) {
+        if (hasEnded(entry->second.announcement)
+            && (oldest == this->entries.end() || entry->second.announcedAt < oldest->second.announcedAt))
+            oldest = entry;
+    }
+    if (oldest == this->entries.end())
+        return false;
+    this->entries.erase(oldest);
+    return true;
+}
+
 std::vector<UpstreamNumber> AnnouncementTable::expire(bool canDetectSilence, TimePoint now)
 {
     std::vector<UpstreamNumber> silent;
@@ -110,9 +132,7 @@
         silent.push_back(number);
     }
     std::erase_if(this->entries, [&](const auto& item) {
-        const AnnouncedState state = item.second.announcement.state;
-        const bool hasEnded = state == AnnouncedState::Gone || state == AnnouncedState::Silent;
-        return hasEnded && now - item.second.announcedAt > this->settings.retention;
+        return hasEnded(item.second.announcement) && now - item.second.announcedAt > this->settings.retention;
     });
     return silent;
 }
@@ -156,7 +176,10 @@
     }
     std::sort(changed.begin(), changed.end(),
         [](const Entry* a, const Entry* b) { return a->changeNumber < b->changeNumber; });
-    completeUpTo = changed.size() > limit ? changed[limit - 1]->changeNumber : this->changeCount;
+    if (changed.size() <= limit)
+        completeUpTo = this->changeCount;
+    else
+        completeUpTo = limit == 0 ? since : changed[limit - 1]->changeNumber;
     if (changed.size() > limit)
         changed.resize(limit);
     std::vector<AgedAnnouncement> result;
--- a/src/zinnia/upstream/announcement_table.hpp
+++ b/src/zinnia/upstream/announcement_table.hpp
@@ -14,6 +14,8 @@
     Milliseconds lease { 4000 };
     /** An upstream that is gone or silent is kept this long, so that a late announcement does not bring it back. */
     Milliseconds retention { 60000 };
+    /** Maximum number of upstreams: twice those of the largest deployment that the product is meant for. */
+    std::size_t capacity = 65536;
 };
 
 /** @brief An announcement and how long ago it was made. */
@@ -34,8 +36,11 @@
     InstanceId receivedFrom;
 };
 
-/** @brief Effect of an announcement on the table; Renewed if only its version and time changed. */
-enum class MergeResult : std::uint8_t { Changed, Renewed, Stale };
+/**
+ * @brief Effect of an announcement on the table; Renewed if only its version and time changed, TableFull if a new
+ * upstream was not recorded because of `AnnouncementTableSettings::capacity`.
+ */
+enum class MergeResult : std::uint8_t { Changed, Renewed, Stale, TableFull };
 
 /**
  * @brief The newest announcement of each upstream that one control instance has received.
@@ -51,7 +56,8 @@
     }
 
     /**
-     * @brief Merges an announcement that is `age` old.
+     * @brief Merges an announcement that is `age` old. In a full table a new upstream replaces the one that has been
+     * gone or silent for longest.
      * @param receivedFrom The control instance that sent it, 0 if the upstream announced itself here.
      */
     MergeResult merge(
@@ -87,7 +93,7 @@
     [[nodiscard]] std::vector<AgedAnnouncement> all(TimePoint now) const;
     /**
      * @param since Change number after which changes are wanted.
-     * @param limit Maximum number of announcements to return.
+     * @param limit Maximum number of announcements to return; may be 0.
      * @param completeUpTo Receives the change number up to which the result holds every change; `since` of the next
      * call.
      * @return Announcements that changed later, the oldest change first.
@@ -119,6 +125,8 @@
     [[nodiscard]] static AgedAnnouncement withAge(const Entry& entry, TimePoint now);
     /** @return True if a departure can only be of the present start of the upstream. */
     [[nodiscard]] bool identifiesStart(const Entry& entry, TimePoint now) const;
+    /** @brief Removes the upstream that has been gone or silent for longest. @return False if there is none. */
+    bool removeOldestEnded();
     void markGone(Entry& entry, TimePoint now);
     /** @brief Sets a state that this instance has inferred. */
     void inferState(Entry& entry, AnnouncedState state);
--- a/test/zinnia/config/fleet_state_test.cpp
+++ b/test/zinnia/config/fleet_state_test.cpp
@@ -40,6 +40,9 @@
         table.routes[0].timeout = Milliseconds { 0 };
         EXPECT_EQ(errorCodeOf(table), RouteTableErrorCode::NoTimeout);
         table = tableOf(7);
+        table.services[0].name = std::string(256, 'x');
+        EXPECT_EQ(errorCodeOf(table), RouteTableErrorCode::NameTooLong);
+        table = tableOf(7);
         table.routes[0].shares = { { "logger", 0 } };
         EXPECT_EQ(errorCodeOf(table), RouteTableErrorCode::NoWeight);
         table = tableOf(7);
--- a/test/zinnia/runtime/fleet_process_test.cpp
+++ b/test/zinnia/runtime/fleet_process_test.cpp
@@ -105,18 +105,44 @@
                 this->settings.cluster.key, this->settings.cluster.id, this->router.id(), Epoch { 1 });
             auto created = FleetLink::create(*this->loop, this->router, this->settings.cluster, *this->sealer,
                 [this](const wire::OpenedMessage& message, const Endpoint&) {
-                    if (message.kind == wire::MessageKind::FeedReply)
+                    if (message.kind == wire::MessageKind::FeedReply) {
                         ++this->feedReplies;
-                    else if (message.kind == wire::MessageKind::Gossip)
+                        this->lastReply = wire::decode<feed::FeedReply>(message.body).value();
+                    }
+                    if (message.kind == wire::MessageKind::Gossip)
                         ++this->gossipMessages;
-                    else if (auto reply = wire::decode<load::LoadReply>(message.body);
-                             reply && message.kind == wire::MessageKind::LoadReply)
+                    if (auto reply = wire::decode<load::LoadReply>(message.body);
+                        reply && message.kind == wire::MessageKind::LoadReply)
                         this->loadReplies.push_back(reply.value());
                 });
             ASSERT_TRUE(created);
             this->link = std::move(created.value());
         }
 
+        /** @return True if a reply to a request for the complete state arrives within 2 s. */
+        bool receiveReply()
+        {
+            const int before = this->feedReplies;
+            feed::FeedRequest request;
+            request.number = 1;
+            this->link->send(this->settings.instance, wire::MessageKind::FeedRequest, request);
+            const auto end = this->loop->now() + Seconds { 2 };
+            while (this->feedReplies == before && this->loop->now() < end)
+                this->loop->runOnce(Milliseconds { 20 });
+            return this->feedReplies > before;
+        }
+
+        CallStatus announce(std::uint64_t number, const std::string& service)
+        {
+            upstream::Announcement announcement;
+            announcement.number = upstream::UpstreamNumber { number };
+            announcement.service = service;
+            announcement.version = { 5, 1 };
+            std::optional<CallStatus> status;
+            this->process->announce(announcement, [&](const CallResult& result) { status = result.status; });
+            return status.value_or(CallStatus::OutcomeUnknown);
+        }
+
         void sendReport(std::uint64_t number)
         {
             load::LoadReport report;
@@ -152,6 +178,7 @@
         std::unique_ptr<FleetLink> link;
         std::vector<load::LoadReply> loadReplies;
         int feedReplies {};
+        feed::FeedReply lastReply;
         int gossipMessages {};
     };
 
@@ -248,5 +275,56 @@
         EXPECT_EQ(text.find("MessageRefused"), std::string::npos) << text;
     }
 
+    // Guards against one odd announcement that keeps routers from learning anything else (review/4).
+    TEST_F(FleetProcessTest, AnOddAnnouncementDoesNotKeepRoutersFromTheOthers)
+    {
+        this->start();
+        EXPECT_EQ(this->withdrawZoneWithin(Seconds { 8 }), CallStatus::Done);
+        EXPECT_EQ(this->announce(1, "logger"), CallStatus::Done);
+        EXPECT_EQ(this->announce(2, std::string(70000, 'x')), CallStatus::Invalid);
+        this->startRouter("a");
+        ASSERT_TRUE(this->receiveReply());
+        EXPECT_EQ(this->lastReply.announcements.size(), 1U);
+        ASSERT_TRUE(this->lastReply.state.has_value());
+        EXPECT_EQ(this->lastReply.state->withdrawnZones, (std::vector<std::string> { "a" }));
+    }
+
+    // Guards against the same through a peer of an earlier release, which stores such an announcement and passes it on.
+    TEST_F(FleetProcessTest, AnOddAnnouncementOfAPeerDoesNotKeepRoutersFromTheOthers)
+    {
+        this->start();
+        EXPECT_EQ(this->withdrawZoneWithin(Seconds { 8 }), CallStatus::Done);
+        this->startRouter("a");
+        feed::Gossip gossip;
+        gossip.announcements.resize(1);
+        gossip.announcements[0].announcement.number = upstream::UpstreamNumber { 2 };
+        gossip.announcements[0].announcement.service = std::string(60000, 'x');
+        this->link->send(this->settings.instance, wire::MessageKind::Gossip, gossip);
+        this->runFor(Milliseconds { 200 });
+        EXPECT_EQ(this->announce(1, std::string(200, 'y')), CallStatus::Done);
+        ASSERT_TRUE(this->receiveReply());
+        EXPECT_EQ(this->lastReply.announcements.size(), 1U);
+    }
+
+    // Guards against a change that is acknowledged and never reaches routers, together with all that follows it.
+    TEST_F(FleetProcessTest, RefusesAChangeThatCannotBeSentToRouters)
+    {
+        this->start();
+        this->installRoutes();
+        config::InstallRoutes routes;
+        routes.table.version = ConfigVersion { 8 };
+        routes.table.services = { { "logger", 2000, Milliseconds { 0 }, 0 } };
+        for (std::uint16_t i = 1; i <= 6000; ++i)
+            routes.table.routes.push_back({ "r", { 0xC6120001, i }, {}, Milliseconds { 1 }, 0, { { "logger", 1 } } });
+        EXPECT_EQ(this->change(routes), CallStatus::TooLarge);
+        EXPECT_EQ(this->change(config::SetZoneWithdrawn { std::string(300, 'z'), true }), CallStatus::Invalid);
+        EXPECT_EQ(this->withdrawZone(), CallStatus::Done);
+        this->startRouter("a");
+        ASSERT_TRUE(this->receiveReply());
+        ASSERT_TRUE(this->lastReply.state.has_value());
+        EXPECT_EQ(this->lastReply.state->version, ConfigVersion { 7 });
+        EXPECT_EQ(this->lastReply.state->withdrawnZones, (std::vector<std::string> { "a" }));
+    }
+
 } // namespace
 } // namespace zinnia::runtime
--- a/test/zinnia/upstream/announcement_table_test.cpp
+++ b/test/zinnia/upstream/announcement_table_test.cpp
@@ -1,3 +1,4 @@
+#include "zinnia/upstream/announcement_limits.hpp"
 #include "zinnia/upstream/announcement_table.hpp"
 
 #include <gtest/gtest.h>
@@ -188,5 +189,46 @@
         EXPECT_EQ(all[0].announcement.coldRemaining, Milliseconds { 2000 });
     }
 
+    // Guards against entries of another writer that fill the memory, or the datagrams in which the others are sent
+    // (review/4).
+    TEST(AnnouncementLimits, NamesTheBoundThatIsExceeded)
+    {
+        const Announcement sample = announcementOf(5, 4, AnnouncedState::Ready);
+        EXPECT_FALSE(findFault(sample));
+        Announcement odd = sample;
+        odd.service = std::string(70000, 'x');
+        EXPECT_EQ(findFault(odd), AnnouncementFault::ServiceTooLong);
+        odd = sample;
+        odd.zone = std::string(256, 'x');
+        EXPECT_EQ(findFault(odd), AnnouncementFault::ZoneTooLong);
+        odd = sample;
+        odd.slots = 65536;
+        EXPECT_EQ(findFault(odd), AnnouncementFault::TooManySlots);
+        odd = sample;
+        odd.coldRemaining = Milliseconds::max();
+        EXPECT_EQ(findFault(odd), AnnouncementFault::ColdTooLong);
+        odd = sample;
+        odd.version.startedAt = std::numeric_limits<std::uint64_t>::max();
+        EXPECT_EQ(findFault(odd), AnnouncementFault::StartOutOfRange);
+    }
+
+    // Guards against a table that grows with every name that another writer invents.
+    TEST(AnnouncementTable, KeepsLivingUpstreamsWhenItIsFull)
+    {
+        AnnouncementTable table { { .lease = Milliseconds { 4000 }, .capacity = 2 } };
+        const auto announce = [&](std::uint64_t number, TimePoint now) {
+            Announcement announcement = announcementOf(5, 4, AnnouncedState::Ready);
+            announcement.number = UpstreamNumber { number };
+            return table.merge(announcement, {}, now);
+        };
+        EXPECT_EQ(announce(1, start), MergeResult::Changed);
+        EXPECT_EQ(announce(2, start + Seconds { 3 }), MergeResult::Changed);
+        EXPECT_EQ(announce(3, start + Seconds { 3 }), MergeResult::TableFull);
+        (void)table.expire(true, start + Seconds { 5 });
+        EXPECT_EQ(announce(3, start + Seconds { 5 }), MergeResult::Changed);
+        EXPECT_EQ(table.find(UpstreamNumber { 1 }), nullptr);
+        EXPECT_NE(table.find(UpstreamNumber { 2 }), nullptr);
+    }
+
 } // namespace
 } // namespace zinnia::upstream
