test: disks that are full in turn leave a working group

The report of other operators: long after each disk was full for a few seconds, changes were refused or unanswered.

--- a/test/zinnia/consensus/dynamic_group_test.cpp
+++ b/test/zinnia/consensus/dynamic_group_test.cpp
@@ -297,5 +297,53 @@
         EXPECT_GT(meanElectionTime(1.0), Milliseconds { 500 });
     }
 
+    /** @brief Runs the group with a change each 100 ms; replicas whose storage failed start again after a second. */
+    void runWithChanges(Cluster& cluster, Milliseconds duration)
+    {
+        std::map<std::uint32_t, TimePoint> failedSince;
+        for (const TimePoint end = cluster.now + duration; cluster.now < end;) {
+            if (const std::uint32_t leader = cluster.leader(); leader != 0)
+                (void)cluster.propose(leader);
+            cluster.runFor(Milliseconds { 100 });
+            for (auto& [id, node] : cluster.nodes) {
+                if (!node.replica || node.replica->status().role != Role::StorageFailed) {
+                    failedSince.erase(id);
+                } else if (const auto since = failedSince.try_emplace(id, cluster.now).first->second;
+                           cluster.now - since >= Seconds { 1 }) {
+                    cluster.crash(id);
+                    cluster.start(id);
+                }
+            }
+        }
+    }
+
+    // Guards against a group that refuses changes, or leaves them unanswered, long after each of its disks was full for
+    // some seconds, one after another.
+    TEST(DynamicGroup, FullDisksInTurnLeaveAWorkingGroup)
+    {
+        for (const std::uint32_t size : { 3U, 4U }) {
+            for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+                Cluster cluster = makeDynamicGroup(size, seed);
+                startInitialVoters(cluster);
+                ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }));
+                if (size > 3)
+                    cluster.start(4);
+                for (std::uint32_t turn = 1; turn <= 2 * size; ++turn) {
+                    // Leaders in one half of the runs, all instances in turn in the other.
+                    const std::uint32_t full
+                        = seed % 2 == 0 && cluster.leader() != 0 ? cluster.leader() : turn % size + 1;
+                    cluster.nodes.at(full).disk.full = true;
+                    runWithChanges(cluster, Milliseconds { 4500 });
+                    cluster.nodes.at(full).disk.full = false;
+                    runWithChanges(cluster, Milliseconds { 4000 });
+                }
+                const std::size_t before = cluster.acknowledged();
+                runWithChanges(cluster, Milliseconds { 10000 });
+                EXPECT_GE(cluster.acknowledged() - before, 95U) << size << " " << seed;
+                EXPECT_EQ(cluster.findInconsistency(), "") << size << " " << seed;
+            }
+        }
+    }
+
 } // namespace
 } // namespace zinnia::consensus::test
--- a/test/zinnia/runtime/log_storage_test.cpp
+++ b/test/zinnia/runtime/log_storage_test.cpp
@@ -130,6 +130,37 @@
         EXPECT_EQ(lastIndexIn(folder), 3U);
     }
 
+    // Guards against a folder that cannot be opened, or is given up as damaged, after its disk was full in the middle
+    // of any write and has room again: given up one after another, all disks would be lost.
+    TEST(LogStorage, OpensAfterTheDiskWasFullAtAnyByte)
+    {
+        Persist change = entries(4, 6, 2);
+        change.hard = hard;
+        change.snapshot = Snapshot { 3, 1, {}, 0, Bytes(50, 9) };
+        std::size_t failures = 0;
+        for (std::size_t room = 0; room < 700; ++room) {
+            FakeFolder folder;
+            {
+                auto storage = filled(folder, 3);
+                folder.freeBytes = room;
+                failures += writeOne(storage, change) ? 0 : 1;
+            }
+            // Still full: either it cannot be opened yet, which is no damage, or nothing that was durable is missing.
+            folder.freeBytes = 0;
+            const auto whileFull = LogStorage::open(folder, cluster);
+            EXPECT_TRUE(whileFull || !isDamage(whileFull.error())) << room;
+            folder.freeBytes = 1000000;
+            auto storage = LogStorage::open(folder, cluster);
+            ASSERT_TRUE(storage) << room;
+            const auto state = storage.value().takeState();
+            const std::uint64_t last = state.entries.empty() ? state.snapshot->index : state.entries.back().index;
+            ASSERT_GE(last, 3U) << room;
+            ASSERT_TRUE(writeOne(storage.value(), entries(last + 1, last + 2, 3))) << room;
+            EXPECT_EQ(lastIndexIn(folder), last + 2) << room;
+        }
+        EXPECT_GT(failures, 300U);
+    }
+
     // Guards against acknowledging data after a failed sync.
     TEST(LogStorage, ReportsAFailedSync)
     {
