consensus: a control instance that lags refers routers to others

Cause: an instance that hears a leader called its state current, though its log lacked commits of many seconds; routers that polled three such instances learnt changes when the first had caught up. Ruled out: a group without a leader, or changes lost for good. Change: a replica measures how long commits that the leader reports wait to be applied, and whether it has caught up since its start; one that is more than 1 s behind does not call its state current.

--- a/src/zinnia/consensus/replica.cpp
+++ b/src/zinnia/consensus/replica.cpp
@@ -349,6 +349,8 @@
     status.snapshotIndex = this->log.snapshot().index;
     if (this->leader)
         status.leader = this->leader->instance;
+    status.hasCaughtUp = this->hasCaughtUp || this->role == Role::Leader;
+    status.lag = this->lag();
     status.voters = this->log.membershipAt(this->commitIndex).membership.voters;
     for (const auto& [id, progress] : this->progress) {
         if (!this->log.latestMembership().membership.contains(id))
--- a/src/zinnia/consensus/replica.hpp
+++ b/src/zinnia/consensus/replica.hpp
@@ -149,6 +149,9 @@
     void advanceLeaderCommit();
     void advanceCommit(LogIndex index);
     void applyCommitted();
+    /** @param commit The commit index in a message of the leader; 0 if the leader has to send a snapshot first. */
+    void recordReportedCommit(LogIndex commit);
+    [[nodiscard]] Microseconds lag() const;
     void answerReads();
     [[nodiscard]] std::optional<RefusalCause> refusalCauseFor(std::size_t size) const;
 
@@ -225,6 +228,14 @@
     /** Memberships up to this index are durably recorded as committed, so that they are known after a restart. */
     LogIndex durableCommitIndex {};
     LogIndex firstIndexOfTerm {};
+    /** A commit index that a leader has reported. */
+    struct ReportedCommit {
+        LogIndex index {};
+        TimePoint at;
+    };
+    /** Reported commit indexes that were not applied at the last report, the oldest first. */
+    std::deque<ReportedCommit> awaitedCommits;
+    bool hasCaughtUp {};
     bool broadcastPending {};
     LogIndex snapshotRequestedIndex {};
     std::map<ReplicaId, Progress> progress;
--- a/src/zinnia/consensus/replication.cpp
+++ b/src/zinnia/consensus/replication.cpp
@@ -3,6 +3,12 @@
 
 namespace zinnia::consensus {
 
+namespace {
+
+    constexpr std::size_t maxAwaitedCommits = 256;
+
+} // namespace
+
 void Replica::appendAsLeader(std::variant<Noop, Command, Membership> payload)
 {
     const bool isMembership = std::holds_alternative<Membership>(payload);
@@ -70,6 +76,7 @@
         return this->sendWhenDurable(reply);
     if (!this->followLeader(message.header))
         return;
+    this->recordReportedCommit(message.commit);
     reply.header = this->headerTo(message.header.from);
     const LogIndex baseIndex = this->log.base();
     // Entries up to the base index are committed, so both logs agree on them.
@@ -229,6 +236,30 @@
     }
 }
 
+void Replica::recordReportedCommit(LogIndex commit)
+{
+    std::erase_if(
+        this->awaitedCommits, [this](const ReportedCommit& item) { return item.index <= this->appliedIndex; });
+    // At least one entry is missing if a snapshot is.
+    const LogIndex reported = commit == 0 ? this->appliedIndex + 1 : commit;
+    this->hasCaughtUp = this->hasCaughtUp || reported <= this->appliedIndex;
+    if (reported <= this->appliedIndex
+        || (!this->awaitedCommits.empty() && reported <= this->awaitedCommits.back().index))
+        return;
+    // The oldest one counts, so the newest may be replaced.
+    if (this->awaitedCommits.size() >= maxAwaitedCommits)
+        this->awaitedCommits.pop_back();
+    this->awaitedCommits.push_back({ reported, this->now });
+}
+
+Microseconds Replica::lag() const
+{
+    const auto oldest = std::find_if(this->awaitedCommits.begin(), this->awaitedCommits.end(),
+        [this](const ReportedCommit& item) { return item.index > this->appliedIndex; });
+    const bool isBehind = this->role != Role::Leader && oldest != this->awaitedCommits.end();
+    return isBehind ? this->now - oldest->at : Microseconds { 0 };
+}
+
 void Replica::answerReads()
 {
     if (this->commitIndex < this->firstIndexOfTerm)
--- a/src/zinnia/consensus/types.hpp
+++ b/src/zinnia/consensus/types.hpp
@@ -3,6 +3,7 @@
 #include "zinnia/core/bytes.hpp"
 #include "zinnia/core/ids.hpp"
 #include "zinnia/core/name_table.hpp"
+#include "zinnia/core/time.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -151,6 +152,10 @@
     LogIndex lastIndex {};
     LogIndex snapshotIndex {};
     std::optional<InstanceId> leader;
+    /** Whether this replica leads, or has applied all that a leader had reported as committed, since it started. */
+    bool hasCaughtUp {};
+    /** How long the oldest entry that a leader has reported as committed has not been applied; 0 on the leader. */
+    Microseconds lag {};
     std::vector<ReplicaId> voters;
     /** Only the leader knows the learners; empty on other replicas. */
     std::vector<ReplicaId> learners;
--- a/src/zinnia/feed/messages.hpp
+++ b/src/zinnia/feed/messages.hpp
@@ -67,7 +67,7 @@
 /** @brief Answer to `FeedRequest`. */
 struct FeedReply {
     std::uint64_t number {};
-    /** The control instance leads or follows a leader, so its state is at most about 1 s old. */
+    /** The control instance leads, or follows a leader closely, so its state is at most about 1 s old. */
     bool hasLeader {};
     /** Revision of the newest routing state of the control instance. */
     std::uint64_t revision {};
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -28,6 +28,8 @@
     constexpr std::size_t routesReserve = 1024;
     /** The same for a new withdrawn zone: the other fields of the reply need it. Unit: bytes. */
     constexpr std::size_t withdrawalReserve = 256;
+    /** An instance whose log is behind by more refers routers to others. */
+    constexpr Milliseconds maxLag { 1000 };
     constexpr Milliseconds stopInterval { 50 };
     /** Unit: stop intervals; 2 s in all. */
     constexpr int maxStopTurns = 40;
@@ -196,6 +198,14 @@
 
 bool FleetProcess::hasLeader() const { return this->replica && this->replica->status().leader.has_value(); }
 
+bool FleetProcess::isCurrent() const
+{
+    if (!this->hasLeader())
+        return false;
+    const consensus::Status status = this->replica->status();
+    return status.hasCaughtUp && status.lag < maxLag;
+}
+
 CallResult FleetProcess::resultOf(const consensus::ProposalResult& result) const
 {
     if (std::holds_alternative<consensus::Committed>(result))
@@ -320,6 +330,7 @@
     const consensus::Status status = this->replica->status();
     this->rememberVoters(status);
     this->metrics.gauge({ "zinnia_control_is_leader" }).set(status.role == consensus::Role::Leader ? 1 : 0);
+    this->metrics.gauge({ "zinnia_control_lag_seconds" }).set(std::chrono::duration<double> { status.lag }.count());
     this->metrics.gauge({ "zinnia_control_term" }).set(static_cast<double>(status.term));
     this->metrics.gauge({ "zinnia_control_commit_index" }).set(static_cast<double>(status.commit));
     this->metrics.gauge({ "zinnia_control_voters" }).set(static_cast<double>(status.voters.size()));
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -143,6 +143,8 @@
     void rememberVoters(const consensus::Status& status);
     void continueStop(int turnsLeft);
     [[nodiscard]] bool hasLeader() const;
+    /** @return True if this instance leads, or follows a leader closely: its routing state is at most about 1 s old. */
+    [[nodiscard]] bool isCurrent() const;
     [[nodiscard]] CallResult resultOf(const consensus::ProposalResult& result) const;
 
     FleetSettings settings;
--- a/src/zinnia/runtime/fleet_process_feed.cpp
+++ b/src/zinnia/runtime/fleet_process_feed.cpp
@@ -187,7 +187,7 @@
         return;
     feed::FeedReply reply;
     reply.number = message.number;
-    reply.hasLeader = this->hasLeader();
+    reply.hasLeader = this->isCurrent();
     reply.revision = this->routing().revision;
     if (message.revision < reply.revision)
         reply.state = this->routing();
--- a/test/zinnia/consensus/replica_test.cpp
+++ b/test/zinnia/consensus/replica_test.cpp
@@ -158,5 +158,52 @@
         EXPECT_EQ(Replica::create(settings, state, TimePoint {}).error(), CreateError::RecordsNotConsecutive);
     }
 
+    // Guards against a follower that counts as up to date because it hears its leader, although it receives or stores
+    // the entries seconds later: routers that rely on it learn changes too late.
+    TEST(Replica, ReportsHowLongItIsBehindTheLeader)
+    {
+        Settings settings;
+        settings.self = InstanceId { 2 };
+        settings.instances = { InstanceId { 1 }, InstanceId { 2 } };
+        TimePoint now { Seconds { 1000 } };
+        auto replica = std::move(Replica::create(settings, {}, now)).value();
+        const ReplicaId self = replica.status().self;
+        const auto append = [&](LogIndex previous, std::vector<LogEntry> entries, LogIndex commit) {
+            const Header header { LogId { 3 }, ReplicaId { InstanceId { 1 }, 5 }, self, 1 };
+            const Term previousTerm = previous == 0 ? 0 : 1;
+            (void)replica.handle(
+                Receive { AppendEntries { header, previous, previousTerm, commit, 0, std::move(entries) } }, now);
+        };
+        append(0, { { 1, 1, Noop {} }, { 2, 1, Noop {} } }, 1);
+        EXPECT_FALSE(replica.status().hasCaughtUp);
+        now += Milliseconds { 400 };
+        // Newer commits do not hide how long the first one has been waiting for the disk.
+        append(2, { { 3, 1, Noop {} } }, 2);
+        now += Milliseconds { 800 };
+        append(3, {}, 3);
+        EXPECT_EQ(replica.status().lag, Milliseconds { 1200 });
+        (void)replica.handle(Persisted { 100 }, now);
+        append(3, {}, 3);
+        EXPECT_TRUE(replica.status().hasCaughtUp);
+        EXPECT_EQ(replica.status().lag, Microseconds { 0 });
+        // The leader reports commits whose entries arrive one by one, always 2 s late.
+        append(3, {}, 4);
+        now += Milliseconds { 1000 };
+        append(3, {}, 5);
+        now += Milliseconds { 1000 };
+        append(3, { { 4, 1, Noop {} } }, 6);
+        EXPECT_EQ(replica.status().lag, Milliseconds { 2000 });
+        (void)replica.handle(Persisted { 200 }, now);
+        append(4, {}, 6);
+        EXPECT_EQ(replica.status().lag, Milliseconds { 1000 });
+        // Entries that the leader has compacted: it reports no commit until the snapshot has arrived.
+        auto learner = std::move(Replica::create(settings, {}, now)).value();
+        const Header header { LogId { 3 }, ReplicaId { InstanceId { 1 }, 5 }, learner.status().self, 1 };
+        (void)learner.handle(Receive { AppendEntries { header, 0, 0, 0, 0, {} } }, now);
+        now += Milliseconds { 1500 };
+        (void)learner.handle(Receive { AppendEntries { header, 0, 0, 0, 0, {} } }, now);
+        EXPECT_EQ(learner.status().lag, Milliseconds { 1500 });
+    }
+
 } // namespace
 } // namespace zinnia::consensus::test
