upstream: an announcement made before a departure does not undo it

Found while reading the change of the late departure: an announcement that another control instance passes on may arrive after a departure that is in doubt, and was taken for a sign of life. The upstream then counted as draining for a minute, or got new flows, after it had left. Change: only an announcement that was made after the departure, or one of another start, ends the doubt. Before: AnAnnouncementMadeBeforeADepartureInDoubtDoesNotUndoIt failed. After: passes, with the other 29 tests of upstream.

--- a/src/zinnia/upstream/announcement_table.cpp
+++ b/src/zinnia/upstream/announcement_table.cpp
@@ -42,10 +42,14 @@
         return MergeResult::Stale;
     if (!isNew && announcement.version <= entry.announcement.version && !infersState(entry.announcement, announcement))
         return MergeResult::Stale;
-    if (!isNew && announcement.version.startedAt != entry.announcement.version.startedAt)
+    if (!isNew && announcement.version.startedAt != entry.announcement.version.startedAt) {
         entry.restartedAt = now;
-    entry.leavingSince.reset();
+        entry.leavingSince.reset();
+    }
     const TimePoint announcedAt = now - age;
+    // One that was made before the departure, and took longer to arrive, says nothing about it.
+    if (entry.leavingSince && announcedAt > *entry.leavingSince)
+        entry.leavingSince.reset();
     const TimePoint coldUntil = announcedAt + announcement.coldRemaining;
     const bool coldChanged = coldUntil > entry.coldUntil + coldTolerance && coldUntil > now;
     const bool changed = isNew || coldChanged || !hasSameContent(entry.announcement, announcement);
@@ -120,8 +124,9 @@
         if (!canDetectSilence)
             break;
         const bool hasLeft = entry.leavingSince && now - *entry.leavingSince >= this->settings.lease;
-        if (entry.announcement.state == AnnouncedState::Draining
-            && (hasLeft || now - entry.announcedAt > this->settings.retention)) {
+        const bool hasDrained = entry.announcement.state == AnnouncedState::Draining
+            && now - entry.announcedAt > this->settings.retention;
+        if (entry.announcement.state != AnnouncedState::Gone && (hasLeft || hasDrained)) {
             this->markGone(entry, now);
             continue;
         }
--- a/test/zinnia/upstream/announcement_table_test.cpp
+++ b/test/zinnia/upstream/announcement_table_test.cpp
@@ -92,6 +92,22 @@
         }
     }
 
+    // Guards against an upstream that has left and counts as alive, because an announcement that it made before took
+    // longer to arrive than its departure.
+    TEST(AnnouncementTable, AnAnnouncementMadeBeforeADepartureInDoubtDoesNotUndoIt)
+    {
+        for (const AnnouncedState state : { AnnouncedState::Ready, AnnouncedState::Draining }) {
+            AnnouncementTable table { departureSettings };
+            (void)table.merge(announcementOf(5, 9, AnnouncedState::Ready), {}, start);
+            (void)table.merge(announcementOf(6, 4, state), {}, start + Seconds { 1 });
+            (void)table.recordDeparture(upstreamNumber, start + Seconds { 2 });
+            (void)table.merge(
+                announcementOf(6, 5, state), Milliseconds { 500 }, start + Seconds { 2 } + Milliseconds { 400 });
+            (void)table.expire(true, start + Seconds { 7 });
+            EXPECT_EQ(table.find(upstreamNumber)->state, AnnouncedState::Gone);
+        }
+    }
+
     // Guards against open flows at an upstream that has drained and left: without an earlier start nothing is in doubt.
     TEST(AnnouncementTable, ADepartureAfterADrainCountsAtOnce)
     {
