consensus: a replica that misses nothing does not count as lagging

Change: a report of a commit index that is applied ends all waiting. Before: Replica.ReportsHowLongItIsBehindTheLeader, extended, fails without the line.

--- a/src/zinnia/consensus/replication.cpp
+++ b/src/zinnia/consensus/replication.cpp
@@ -240,11 +240,15 @@
 {
     std::erase_if(
         this->awaitedCommits, [this](const ReportedCommit& item) { return item.index <= this->appliedIndex; });
+    if (commit > 0 && commit <= this->appliedIndex) {
+        // No snapshot is missing after all.
+        this->awaitedCommits.clear();
+        this->hasCaughtUp = true;
+        return;
+    }
     // At least one entry is missing if a snapshot is.
     const LogIndex reported = commit == 0 ? this->appliedIndex + 1 : commit;
-    this->hasCaughtUp = this->hasCaughtUp || reported <= this->appliedIndex;
-    if (reported <= this->appliedIndex
-        || (!this->awaitedCommits.empty() && reported <= this->awaitedCommits.back().index))
+    if (!this->awaitedCommits.empty() && reported <= this->awaitedCommits.back().index)
         return;
     // The oldest one counts, so the newest may be replaced.
     if (this->awaitedCommits.size() >= maxAwaitedCommits)
--- a/test/zinnia/consensus/replica_test.cpp
+++ b/test/zinnia/consensus/replica_test.cpp
@@ -196,6 +196,16 @@
         (void)replica.handle(Persisted { 200 }, now);
         append(4, {}, 6);
         EXPECT_EQ(replica.status().lag, Milliseconds { 1000 });
+        append(4, { { 5, 1, Noop {} }, { 6, 1, Noop {} } }, 6);
+        (void)replica.handle(Persisted { 300 }, now);
+        // A leader that does not know yet what this replica has reports no commit; the next report shows that nothing
+        // is missing.
+        append(0, {}, 0);
+        now += Milliseconds { 500 };
+        append(0, {}, 0);
+        EXPECT_EQ(replica.status().lag, Milliseconds { 500 });
+        append(6, {}, 6);
+        EXPECT_EQ(replica.status().lag, Microseconds { 0 });
         // Entries that the leader has compacted: it reports no commit until the snapshot has arrived.
         auto learner = std::move(Replica::create(settings, {}, now)).value();
         const Header header { LogId { 3 }, ReplicaId { InstanceId { 1 }, 5 }, learner.status().self, 1 };
