feed: routers request routing states in parts that exceed a datagram

Cause: a control instance sent the whole routing state in one datagram, so a larger one had to be refused. Ruled out: the size of a log entry (4 MB; the refused one had 1.2 MB). Change: a state that does not fit into a reply is requested in parts of 1,200 bytes, with retries, from any control instance that has it; control instances keep the last four states, so that transfers end while changes follow each other. Route facts for load sharing, which exceeded a datagram from about 3,800 routes on, are sent in the same way. Changes are refused above 512 KiB, and above the number of elements that a message may have: those would have been stored and not read back.

--- a/src/zinnia/feed/fwd.hpp
+++ b/src/zinnia/feed/fwd.hpp
@@ -7,6 +7,10 @@
 struct RoutingState;
 struct Gossip;
 struct GossipAck;
+struct StatePartsRequest;
+struct StatePart;
 class FeedClient;
+class StateArchive;
+class StateTransfer;
 
 } // namespace zinnia::feed
--- a/src/zinnia/routing/flow_router.hpp
+++ b/src/zinnia/routing/flow_router.hpp
@@ -125,6 +125,8 @@
     void setSynchronized() noexcept { this->synchronized = true; }
     /** @brief Merges the load of the zone, as a control instance has reported it. */
     void merge(const load::LoadReply& reply, TimePoint now);
+    /** @brief Replaces the facts of all routes, which were too large for a reply. */
+    void setRouteFacts(const load::RouteFacts& facts);
     /** @brief Forgets the load of the zone, as after a process pause, in which it has changed. */
     void clearLoad() { this->loadView.clear(); }
     /** @return What is known about the load of the zone. */
--- a/src/zinnia/routing/flow_router_load.cpp
+++ b/src/zinnia/routing/flow_router_load.cpp
@@ -23,6 +23,12 @@
         this->loadView.merge(reply, now);
 }
 
+void FlowRouter::setRouteFacts(const load::RouteFacts& facts)
+{
+    if (this->settings.load.enabled)
+        this->loadView.setRouteFacts(facts);
+}
+
 load::LoadReport FlowRouter::makeLoadReport(TimePoint)
 {
     load::LoadReport report;
--- a/src/zinnia/routing/load_view.cpp
+++ b/src/zinnia/routing/load_view.cpp
@@ -14,11 +14,15 @@
     std::erase_if(this->upstreams, [now](const auto& item) { return now - item.second.at > maxAge; });
     for (const auto& upstream : reply.upstreams)
         this->upstreams.insert_or_assign(upstream.token, TimedUpstreamLoad { upstream, now });
-    if (reply.facts.digest == 0)
-        return;
-    this->digest = reply.facts.digest;
+    if (reply.facts.digest != 0)
+        this->setRouteFacts(reply.facts);
+}
+
+void LoadView::setRouteFacts(const load::RouteFacts& facts)
+{
+    this->digest = facts.digest;
     this->routes.clear();
-    for (const auto& route : reply.facts.routes)
+    for (const auto& route : facts.routes)
         this->routes.emplace(route.address, route);
 }
 
--- a/src/zinnia/routing/load_view.hpp
+++ b/src/zinnia/routing/load_view.hpp
@@ -20,6 +20,7 @@
 
     /** @brief Replaces the figures of services, and of the upstreams in the reply. */
     void merge(const load::LoadReply& reply, TimePoint now);
+    void setRouteFacts(const load::RouteFacts& facts);
     /** @brief Forgets everything, as after a process pause. */
     void clear();
 
--- a/src/zinnia/runtime/fleet_link.cpp
+++ b/src/zinnia/runtime/fleet_link.cpp
@@ -40,6 +40,13 @@
 }
 
 std::size_t FleetLink::sendEncoded(const Endpoint& to, wire::MessageKind kind, BytesView body)
+{
+    const std::size_t size = this->enqueue(to, kind, body);
+    this->sender.flush();
+    return size;
+}
+
+std::size_t FleetLink::enqueue(const Endpoint& to, wire::MessageKind kind, BytesView body)
 {
     if (body.size() > maxMessageBytes) {
         ++this->oversizedCount;
@@ -49,7 +56,6 @@
     }
     const Bytes sealed = this->sealer->seal(kind, body);
     this->sender.add(this->socket.descriptor(), to, sealed, {});
-    this->sender.flush();
     return sealed.size();
 }
 
--- a/src/zinnia/runtime/fleet_link.hpp
+++ b/src/zinnia/runtime/fleet_link.hpp
@@ -42,6 +42,14 @@
     {
         this->sendEncoded(to, kind, wire::encode(message));
     }
+    /** @brief Sends several messages, which together take as few system calls as possible. */
+    template <class Message>
+    void replyAll(const Endpoint& to, wire::MessageKind kind, const std::vector<Message>& messages)
+    {
+        for (const Message& message : messages)
+            (void)this->enqueue(to, kind, wire::encode(message));
+        this->sender.flush();
+    }
     /** @brief As `send`, for an encoded message. One of more than `maxMessageBytes` is logged and not sent. */
     std::size_t sendEncoded(const Endpoint& to, wire::MessageKind kind, BytesView body);
 
@@ -54,6 +62,9 @@
     FleetLink(Poller& poller, const FleetMember& member, UdpSocket socket, const ClusterSettings& cluster,
         wire::Sealer& sealer, Handler handler);
     void receive();
+    /** @brief Seals a message for the next flush of the sender. @return Size of the datagram. Unit: bytes. */
+    std::size_t enqueue(const Endpoint& to, wire::MessageKind kind, BytesView body);
+
     Poller* poller;
     UdpSocket socket;
     const FleetMember* member;
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -24,10 +24,8 @@
     /** Each log entry holds a complete route table, so a small interval keeps the replay after a restart short. */
     constexpr std::uint64_t snapshotInterval = 64;
     constexpr std::uint64_t trailingEntries = 32;
-    /** Part of a reply to a router that a new route table has to leave free for withdrawn zones. Unit: bytes. */
-    constexpr std::size_t routesReserve = 1024;
-    /** The same for a new withdrawn zone: the other fields of the reply need it. Unit: bytes. */
-    constexpr std::size_t withdrawalReserve = 256;
+    /** Part of the routing state that a new route table has to leave free for withdrawn zones. Unit: bytes. */
+    constexpr std::size_t routesReserve = 4096;
     /** An instance whose log is behind by more refers routers to others. */
     constexpr Milliseconds maxLag { 1000 };
     constexpr Milliseconds stopInterval { 50 };
@@ -237,8 +235,11 @@
     if (zone != nullptr && std::find(withdrawn.begin(), withdrawn.end(), zone->zone) == withdrawn.end())
         withdrawn.push_back(zone->zone);
     const config::RouteTable& table = routes != nullptr ? routes->table : state.routes();
+    if (table.routes.size() > wire::maxListElements || table.services.size() > wire::maxListElements)
+        return CallResult { CallStatus::TooLarge, {},
+            "at most " + std::to_string(wire::maxListElements) + " routes and services can be stored" };
     const std::size_t size = wire::encode(feed::makeRoutingState(table, withdrawn, 0)).size();
-    const std::size_t limit = maxMessageBytes - (routes != nullptr ? routesReserve : withdrawalReserve);
+    const std::size_t limit = feed::maxRoutingStateBytes - (routes != nullptr ? routesReserve : 0);
     if (size <= limit)
         return std::nullopt;
     return CallResult { CallStatus::TooLarge, {},
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "zinnia/feed/control_peer_table.hpp"
+#include "zinnia/feed/state_transfer.hpp"
 #include "zinnia/load/load_watch.hpp"
 #include "zinnia/load/zone_load_table.hpp"
 #include "zinnia/runtime/background_file.hpp"
@@ -110,6 +111,7 @@
     void receive(InstanceId sender, const feed::Gossip& message, const Endpoint& source);
     void receive(InstanceId sender, const feed::GossipAck& message, const Endpoint& source);
     void receive(InstanceId sender, const feed::FeedRequest& message, const Endpoint& source);
+    void receive(InstanceId sender, const feed::StatePartsRequest& message, const Endpoint& source);
     void receive(InstanceId sender, const load::LoadReport& message, const Endpoint& source);
     void receive(InstanceId sender, const load::ZoneSummary& message, const Endpoint& source);
     /** @brief Merges an announcement within its bounds into the table and logs a change. */
@@ -134,6 +136,12 @@
     [[nodiscard]] std::vector<load::UsableUpstream> usableUpstreams(TimePoint now);
     void loadSnapshot();
     void saveSnapshot(TimePoint now);
+    [[nodiscard]] feed::StateArchive& archiveOf(feed::StateSubject subject)
+    {
+        return this->stateArchives[static_cast<std::size_t>(subject)];
+    }
+    /** @return Size of `routing` if it is encoded. Unit: bytes. */
+    [[nodiscard]] std::size_t routingBytes();
     /** @return The newest known committed state: the log's, or the saved snapshot's while the log is replayed. */
     [[nodiscard]] const feed::RoutingState& routing() const;
     void refresh();
@@ -159,6 +167,8 @@
     std::uint64_t savedChange {};
     TimePoint nextSaveAt;
     FleetLog log;
+    /** What routers request in parts, by subject. */
+    std::array<feed::StateArchive, feed::stateSubjectNames.size()> stateArchives;
     std::unique_ptr<ReplicaDriver> replica;
     std::unique_ptr<StreamServer> streams;
     std::unique_ptr<FleetLink> link;
@@ -175,6 +185,8 @@
     std::uint64_t loadedChange {};
     std::uint64_t loadedRevision {};
     ConfigVersion loadedVersion;
+    /** Size of the route facts that the load table has. Unit: bytes. */
+    std::size_t factsBytes {};
     TimePoint nextLoadRefreshAt;
     TimePoint nextLoadGaugesAt;
     TimePoint lastLoadReportAt;
--- a/src/zinnia/runtime/fleet_process_feed.cpp
+++ b/src/zinnia/runtime/fleet_process_feed.cpp
@@ -139,6 +139,8 @@
         decode(std::type_identity<feed::GossipAck> {});
     else if (message.kind == wire::MessageKind::FeedRequest)
         decode(std::type_identity<feed::FeedRequest> {});
+    else if (message.kind == wire::MessageKind::StatePartsRequest)
+        decode(std::type_identity<feed::StatePartsRequest> {});
     else if (message.kind == wire::MessageKind::LoadReport || message.kind == wire::MessageKind::ZoneSummary) {
         // Ignored without a log line if load is not shared: each router that shares it sends several a second.
         if (this->settings.member.sharesLoad && message.kind == wire::MessageKind::LoadReport)
@@ -189,8 +191,11 @@
     reply.number = message.number;
     reply.hasLeader = this->isCurrent();
     reply.revision = this->routing().revision;
-    if (message.revision < reply.revision)
+    // A router that gets no state requests it in parts.
+    const bool lacksState = message.revision < reply.revision;
+    if (lacksState && this->routingBytes() < maxMessageBytes)
         reply.state = this->routing();
+    const bool omitsState = lacksState && !reply.state;
     reply.tableEpoch = this->epoch;
     const std::uint64_t since = message.tableEpoch == this->epoch ? message.change : 0;
     reply.lastChange = this->announcementTable.lastChange();
@@ -200,14 +205,30 @@
         = encodeFeedReply(std::move(reply), maxMessageBytes, [&](std::size_t limit, std::uint64_t& upTo) {
               return this->announcementTable.changedSince(since, std::min(limit, announcementsPerReply), upTo, now);
           });
-    if (page.omittedStateBytes > 0) {
+    if (omitsState || page.omittedStateBytes > 0)
         this->metrics.counter({ "zinnia_routing_state_omitted_total" }).add();
-        runtime::log(Event::MessageTooLarge, Field { "part", "routing_state" },
-            Field { "bytes", page.omittedStateBytes }, Field { "limit", maxMessageBytes }, Field { "to", sender });
-    }
     this->link->sendEncoded(source, wire::MessageKind::FeedReply, page.bytes);
 }
 
+void FleetProcess::receive(InstanceId, const feed::StatePartsRequest& message, const Endpoint& source)
+{
+    if (static_cast<std::size_t>(message.subject) >= this->stateArchives.size())
+        return runtime::log(Event::MessageRefused, Field { "reason", RefusalReason::Malformed });
+    if (message.subject == feed::StateSubject::Routing)
+        (void)this->routingBytes();
+    const auto parts = this->archiveOf(message.subject).answer(message);
+    this->metrics.counter({ "zinnia_routing_state_parts_total" }).add(parts.size());
+    this->link->replyAll(source, wire::MessageKind::StatePart, parts);
+}
+
+std::size_t FleetProcess::routingBytes()
+{
+    const feed::RoutingState& state = this->routing();
+    return this->archiveOf(feed::StateSubject::Routing).sizeOf(state.revision, [&state] {
+        return wire::encode(state);
+    });
+}
+
 void FleetProcess::loadSnapshot()
 {
     this->snapshotFile = std::make_unique<BackgroundFile>(*this->files, snapshotName);
--- a/src/zinnia/runtime/fleet_process_load.cpp
+++ b/src/zinnia/runtime/fleet_process_load.cpp
@@ -16,6 +16,8 @@
     constexpr Milliseconds upstreamInterval { 500 };
     /** Interval at which the figures of services are written to the metrics. */
     constexpr Milliseconds gaugeInterval { 500 };
+    /** Size of the facts in a reply; the rest is left for the load of services and upstreams. Unit: bytes. */
+    constexpr std::size_t maxFactsBytes = maxMessageBytes - (16U << 10U);
     /** Time without a report after which the metrics show no router. */
     constexpr Milliseconds reportTimeout { 1000 };
 
@@ -26,7 +28,10 @@
     const TimePoint now = this->loop->now();
     // A router of another zone gets an empty reply, from which it learns the zone of this instance.
     if (this->loadTable.merge(sender, message, now)) {
-        const load::LoadReply reply = this->loadTable.replyTo(sender, now);
+        load::LoadReply reply = this->loadTable.replyTo(sender, now);
+        // The router requests facts without routes in parts.
+        if (this->factsBytes > maxFactsBytes)
+            reply.facts.routes.clear();
         this->link->reply(source, wire::MessageKind::LoadReply, reply);
         this->publish(this->loadWatch.observe(reply, now));
         this->publishLoad(reply, now);
@@ -50,8 +55,13 @@
     // The saved snapshot has no document. While the log is replayed the previous facts stay.
     if (const auto version = this->log.state().routes().version; version > this->loadedVersion) {
         this->loadedVersion = version;
-        if (const auto table = this->readDocument ? this->readDocument(this->log.state().document()) : std::nullopt)
-            this->loadTable.setRoutes(load::makeRouteFacts(*table), load::shortestObjectives(*table));
+        if (const auto table = this->readDocument ? this->readDocument(this->log.state().document()) : std::nullopt) {
+            const load::RouteFacts facts = load::makeRouteFacts(*table);
+            this->factsBytes = this->archiveOf(feed::StateSubject::RouteFacts).sizeOf(version.value, [&facts] {
+                return wire::encode(facts);
+            });
+            this->loadTable.setRoutes(facts, load::shortestObjectives(*table));
+        }
     }
     if (const auto revision = this->routing().revision; revision != std::exchange(this->loadedRevision, revision))
         this->loadedChange = 0;
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -350,6 +350,8 @@
         this->receiveFeed(message);
     else if (message.kind == wire::MessageKind::LoadReply && this->settings.member.sharesLoad)
         this->receiveLoadReply(message);
+    else if (message.kind == wire::MessageKind::StatePart)
+        this->receiveStatePart(message);
 }
 
 void RouterProcess::receiveFeed(const wire::OpenedMessage& message)
@@ -361,10 +363,10 @@
     }
     const TimePoint now = this->loop->now();
     const feed::FeedReply& update = reply.value();
-    if (update.state && this->router.adopt(*update.state, now))
-        log(Event::RoutesAdopted, Field { "revision", update.state->revision },
-            Field { "version", update.state->version }, Field { "routes", update.state->routes.size() },
-            Field { "withdrawn_zones", update.state->withdrawnZones.size() }, Field { "control", message.sender });
+    if (update.state)
+        this->adopt(*update.state, message.sender);
+    else if (update.revision > this->router.state().revision)
+        this->requestState(feed::StateSubject::Routing, message.sender, update.revision);
     this->router.merge(update.announcements, now);
     if (const auto more = this->feed.receive(message.sender, update, this->router.state().revision, now))
         this->sendRequests({ *more });
@@ -394,6 +396,8 @@
     }
     this->lastTick = now;
     this->sendRequests(this->feed.tick(this->router.state().revision, now));
+    for (feed::StateTransfer& transfer : this->stateTransfers)
+        this->sendPartsRequest(transfer.tick(now));
     const bool hasLeaderContact = this->feed.hasLeaderContact(now);
     if (hasLeaderContact != std::exchange(this->hadLeaderContact, hasLeaderContact))
         log(hasLeaderContact ? Event::ControlRegained : Event::ControlLost,
--- a/src/zinnia/runtime/router_process.hpp
+++ b/src/zinnia/runtime/router_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "zinnia/feed/feed_client.hpp"
+#include "zinnia/feed/state_transfer.hpp"
 #include "zinnia/load/load_client.hpp"
 #include "zinnia/routing/egress_queue.hpp"
 #include "zinnia/routing/flow_router.hpp"
@@ -78,6 +79,16 @@
     void receiveMessage(const wire::OpenedMessage& message);
     void receiveFeed(const wire::OpenedMessage& message);
     void receiveLoadReply(const wire::OpenedMessage& message);
+    void receiveStatePart(const wire::OpenedMessage& message);
+    /** @brief A control instance has a newer state than this router and has not sent it. */
+    void requestState(feed::StateSubject subject, InstanceId control, std::uint64_t revision);
+    void sendPartsRequest(const std::optional<feed::OutgoingPartsRequest>& request);
+    void finishTransfer(feed::StateSubject subject, InstanceId control);
+    void adopt(const feed::RoutingState& state, InstanceId control);
+    [[nodiscard]] feed::StateTransfer& transferOf(feed::StateSubject subject)
+    {
+        return this->stateTransfers[static_cast<std::size_t>(subject)];
+    }
     void reportLoad();
     /** @brief Keeps the bytes of an opening until it is released. */
     void keepWaiting(BytesView bytes, const routing::FlowPacket& packet, TimePoint now);
@@ -103,6 +114,10 @@
     wire::Sealer sealer;
     routing::FlowRouter router;
     feed::FeedClient feed;
+    /** What is received in parts, by subject. */
+    std::array<feed::StateTransfer, feed::stateSubjectNames.size()> stateTransfers {
+        feed::StateTransfer { feed::StateSubject::Routing }, feed::StateTransfer { feed::StateSubject::RouteFacts }
+    };
     load::LoadClient load;
     std::unique_ptr<UdpSocket> packets;
     std::vector<HeldPacket> heldQueue;
--- a/src/zinnia/runtime/router_process_load.cpp
+++ b/src/zinnia/runtime/router_process_load.cpp
@@ -1,6 +1,7 @@
 #include "zinnia/runtime/logger.hpp"
 #include "zinnia/runtime/router_process.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace zinnia::runtime {
@@ -40,12 +41,17 @@
 
 void RouterProcess::receiveLoadReply(const wire::OpenedMessage& message)
 {
-    const auto reply = wire::decode<load::LoadReply>(message.body);
+    auto reply = wire::decode<load::LoadReply>(message.body);
     if (!reply) {
         log(Event::MessageRefused, Field { "reason", RefusalReason::Malformed });
         return;
     }
     const TimePoint now = this->loop->now();
+    if (load::RouteFacts& facts = reply.value().facts; facts.digest != 0 && facts.routes.empty()) {
+        facts = {};
+        const std::uint64_t version = std::max<std::uint64_t>(this->router.state().version.value, 1);
+        this->requestState(feed::StateSubject::RouteFacts, message.sender, version);
+    }
     if (this->load.receive(message.sender, reply.value(), now)) {
         this->router.merge(reply.value(), now);
         if (std::exchange(this->collector, message.sender) != message.sender)
--- a/src/zinnia/wire/archive.hpp
+++ b/src/zinnia/wire/archive.hpp
@@ -18,6 +18,9 @@
 
 namespace zinnia::wire {
 
+/** @brief Maximum number of elements of a list in a message; longer ones are not decoded. */
+inline constexpr std::size_t maxListElements = 65536;
+
 /** @brief Why bytes could not be decoded into a message. */
 enum class DecodeError : unsigned char { Truncated, WrongShape, OutOfRange, Trailing };
 
@@ -314,7 +317,7 @@
 template <class T> [[nodiscard]] Result<T, DecodeError> decode(BytesView bytes)
 {
     // Maximum numbers of array and map elements, of string, binary and extension bytes, and of nesting levels.
-    const msgpack::unpack_limit limits { 65536, 64, 1 << 24, 1 << 24, 1024, 32 };
+    const msgpack::unpack_limit limits { maxListElements, 64, 1 << 24, 1 << 24, 1024, 32 };
     const auto refer = [](msgpack::type::object_type, std::size_t, void*) { return true; };
     try {
         std::size_t offset = 0;
--- a/src/zinnia/wire/envelope.hpp
+++ b/src/zinnia/wire/envelope.hpp
@@ -43,6 +43,8 @@
     LoadReport = 44,
     LoadReply = 45,
     ZoneSummary = 46,
+    StatePartsRequest = 47,
+    StatePart = 48,
 };
 
 /** @brief Maximum size of a message between entry instances: one UDP datagram. Unit: bytes. */
--- a/test/zinnia/runtime/router_process_test.cpp
+++ b/test/zinnia/runtime/router_process_test.cpp
@@ -34,6 +34,7 @@
             auto created = FleetLink::create(*this->loop, this->control, this->settings.cluster, sealer,
                 [&](const wire::OpenedMessage& message, const Endpoint& source) {
                     ++this->received[message.kind];
+                    this->answer(message, source, *link);
                     const auto report = wire::decode<load::LoadReport>(message.body);
                     if (message.kind != wire::MessageKind::LoadReport || !report)
                         return;
@@ -57,8 +58,28 @@
                 this->loop->runOnce(Milliseconds { 20 });
         }
 
+        /** @brief Offers the newest state of the archive, if it has one, and sends it in parts. */
+        void answer(const wire::OpenedMessage& message, const Endpoint& source, FleetLink& link)
+        {
+            if (const auto request = wire::decode<feed::FeedRequest>(message.body);
+                request && message.kind == wire::MessageKind::FeedRequest && this->offeredRevision > 0) {
+                this->routerRevision = request.value().revision;
+                feed::FeedReply reply;
+                reply.number = request.value().number;
+                reply.hasLeader = true;
+                reply.revision = this->offeredRevision;
+                link.reply(source, wire::MessageKind::FeedReply, reply);
+            }
+            if (const auto request = wire::decode<feed::StatePartsRequest>(message.body);
+                request && message.kind == wire::MessageKind::StatePartsRequest)
+                link.replyAll(source, wire::MessageKind::StatePart, this->archive.answer(request.value()));
+        }
+
         SteadyClock clock;
         std::unique_ptr<EventLoop> loop;
+        feed::StateArchive archive;
+        std::uint64_t offeredRevision {};
+        std::uint64_t routerRevision {};
         platform::PacketCodec format;
         FleetMember control;
         RouterSettings settings;
@@ -87,5 +108,18 @@
         EXPECT_LE(this->reports.size(), 6U);
     }
 
+    // Guards against a router that never gets a routing state that does not fit into a reply (review/1).
+    TEST_F(RouterProcessTest, RequestsARoutingStateInPartsThatIsNotInTheReply)
+    {
+        feed::RoutingState state { 9, ConfigVersion { 3 }, { { "logger", 2000, Milliseconds { 0 }, 0 } }, {}, {}, {} };
+        for (std::uint32_t i = 0; i < 20000; ++i)
+            state.routes.push_back({ { 0xC6120001 + i, 443 }, { 0 }, { 1 } });
+        EXPECT_GT(this->archive.sizeOf(9, [&state] { return wire::encode(state); }), 65507U);
+        this->offeredRevision = 9;
+        this->run();
+        EXPECT_EQ(this->routerRevision, 9U);
+        EXPECT_LE(this->received[wire::MessageKind::StatePartsRequest], 20);
+    }
+
 } // namespace
 } // namespace zinnia::runtime
