consensus: spread the voters over availability zones

Operators would see: with two of three voters in one zone, or three of five, the loss of that zone leaves no majority, and changes get 503 until it is back, although the deployment has to bear the loss of a zone. Cause: the leader admitted the learner with the lowest identity and knew no zones; seeds may share a zone, too. Without the zones the tests TheLossOfAnyZone IsBorneAfterTheReplacementOfAVoter and SpreadsTheInitialVotersOverTheZones fail. Change: control instances tell each other their zones (a zone summary without services, which the previous release ignores); the leader admits learners of the zone with the fewest voters first, and replaces a voter of a crowded zone when all voters are in contact and half of the catch-up time has passed since the last change.

--- a/src/zinnia/consensus/admission.cpp
+++ b/src/zinnia/consensus/admission.cpp
@@ -135,14 +135,58 @@
     // leaders could count majorities of memberships that differ by more than one voter.
     if (!this->isCommitted(this->log.latestMembership()) || this->commitIndex < this->firstIndexOfTerm)
         return;
+    const std::vector<ReplicaId> learners = this->learnersToAdmit();
+    for (const ReplicaId& id : learners) {
+        if (auto next = this->membershipWith(id, this->progress.at(id)))
+            return this->appendAsLeader(std::move(*next));
+    }
+    this->spreadVoters(learners);
+}
+
+std::vector<ReplicaId> Replica::learnersToAdmit() const
+{
+    const Membership& current = this->log.latestMembership().membership;
+    Membership remaining = current;
+    if (const auto replaced = this->replaceableVoter())
+        std::erase(remaining.voters, *replaced);
+    std::vector<ReplicaId> learners;
     for (const auto& [id, learner] : this->progress) {
-        if (this->log.latestMembership().membership.contains(id) || learner.matchIndex < this->commitIndex)
+        if (!current.contains(id) && learner.matchIndex >= this->commitIndex)
+            learners.push_back(id);
+    }
+    std::stable_sort(learners.begin(), learners.end(), [&](const ReplicaId& left, const ReplicaId& right) {
+        return votersInZoneOf(left.instance, remaining, this->zones)
+            < votersInZoneOf(right.instance, remaining, this->zones);
+    });
+    return learners;
+}
+
+void Replica::spreadVoters(const std::vector<ReplicaId>& learners)
+{
+    const Membership& current = this->log.latestMembership().membership;
+    // Each change is a risk while instances come and go.
+    const bool isCalm = this->now - this->membershipProposedAt >= this->settings.voterReplacementDelay
+        && std::none_of(current.voters.begin(), current.voters.end(), [this](const ReplicaId& voter) {
+               return this->isLeaving(voter) || this->isUnreachable(voter, this->settings.quorumTimeout);
+           });
+    if (!this->isDynamic() || !isCalm)
+        return;
+    for (const ReplicaId& id : learners) {
+        if (!this->isResponsive(this->progress.at(id)) || current.voterOf(id.instance))
             continue;
-        if (auto next = this->membershipWith(id, learner))
-            return this->appendAsLeader(std::move(*next));
+        if (const auto voter = voterInCrowdedZone(current, id, this->hardState.self, this->zones))
+            return this->appendAsLeader(this->replaceVoter(current, *voter, id));
     }
 }
 
+Membership Replica::replaceVoter(Membership membership, const ReplicaId& voter, const ReplicaId& learner)
+{
+    this->report(zinnia::Event::VoterReplaced, voter, this->log.lastIndex() + 1);
+    std::erase(membership.voters, voter);
+    membership.voters.push_back(learner);
+    return membership;
+}
+
 bool Replica::isUnreachable(const ReplicaId& voter, Milliseconds timeout) const
 {
     if (voter == this->hardState.self)
@@ -196,8 +240,7 @@
             const auto replaced = this->replaceableVoter();
             if (!replaced)
                 return std::nullopt;
-            this->report(zinnia::Event::VoterReplaced, *replaced, this->log.lastIndex() + 1);
-            std::erase(next.voters, *replaced);
+            return this->replaceVoter(std::move(next), *replaced, id);
         }
     }
     next.voters.push_back(id);
--- a/src/zinnia/consensus/election.cpp
+++ b/src/zinnia/consensus/election.cpp
@@ -90,6 +90,7 @@
     this->leader = this->hardState.self;
     this->report(zinnia::Event::LeaderElected, this->hardState.self);
     this->progress.clear();
+    this->membershipProposedAt = this->now;
     this->syncProgress();
     // The previous leader has been unreachable since before the election, unless it voted.
     if (this->lastFollowedLeader && !this->votes.contains(*this->lastFollowedLeader)) {
--- a/src/zinnia/consensus/event.hpp
+++ b/src/zinnia/consensus/event.hpp
@@ -2,6 +2,7 @@
 
 #include "zinnia/consensus/message.hpp"
 #include "zinnia/consensus/types.hpp"
+#include "zinnia/consensus/voter_placement.hpp"
 #include "zinnia/core/event.hpp"
 #include "zinnia/core/name_table.hpp"
 
@@ -62,6 +63,7 @@
 /** @brief Replaces the set of known control instances; ignored by a fixed group. */
 struct InstancesUpdated {
     std::vector<InstanceId> instances;
+    ZoneTable zones {};
 };
 
 /** @brief The process is shutting down: proposals and reads are refused from now on. */
--- a/src/zinnia/consensus/replica.cpp
+++ b/src/zinnia/consensus/replica.cpp
@@ -277,6 +277,7 @@
     if (!this->isDynamic())
         return;
     this->settings.instances = event.instances;
+    this->zones = event.zones;
     // The driver has closed the stream to an instance that is gone, without a report of what was on it.
     for (auto& [id, peer] : this->progress) {
         if (peer.transfer != 0
--- a/src/zinnia/consensus/replica.hpp
+++ b/src/zinnia/consensus/replica.hpp
@@ -179,6 +179,10 @@
     void sendJoinRequests();
     void sendLeaveRequest();
     void admitLearners();
+    /** @return Learners that have caught up, those first that spread the voters best over zones. */
+    [[nodiscard]] std::vector<ReplicaId> learnersToAdmit() const;
+    /** @brief Replaces a voter by a learner of a zone with fewer voters, if the group is calm. */
+    void spreadVoters(const std::vector<ReplicaId>& learners);
     /** @brief Adds the progress of new voters and removes that of other replicas that no longer request to join. */
     void syncProgress();
     [[nodiscard]] bool isInitialVoter() const;
@@ -196,6 +200,7 @@
     [[nodiscard]] TimePoint lastContactOf(const ReplicaId& voter) const;
     /** @return The membership with the learner as a voter, or nothing if the change is not needed or not allowed. */
     [[nodiscard]] std::optional<Membership> membershipWith(const ReplicaId& id, const Progress& learner);
+    [[nodiscard]] Membership replaceVoter(Membership membership, const ReplicaId& voter, const ReplicaId& learner);
     [[nodiscard]] std::vector<ReplicaId> peers() const;
 
     // Shared
@@ -254,6 +259,10 @@
     std::deque<ReportedCommit> awaitedCommits;
     bool hasCaughtUp {};
     bool broadcastPending {};
+    /** Zones of the known instances. */
+    ZoneTable zones;
+    /** When this leader was elected, or has last proposed a membership. */
+    TimePoint membershipProposedAt;
     LogIndex snapshotRequestedIndex {};
     /** Size of the commands applied since the last snapshot was requested or installed. Unit: bytes. */
     std::size_t appliedBytes {};
--- a/src/zinnia/consensus/replication.cpp
+++ b/src/zinnia/consensus/replication.cpp
@@ -29,8 +29,10 @@
     LogEntry entry { this->log.lastIndex() + 1, this->hardState.term, std::move(payload) };
     this->newEntries.push_back(entry);
     this->log.append(std::move(entry));
-    if (isMembership)
+    if (isMembership) {
+        this->membershipProposedAt = this->now;
         this->syncProgress();
+    }
     this->broadcastPending = true;
 }
 
--- a/src/zinnia/feed/control_peer_table.cpp
+++ b/src/zinnia/feed/control_peer_table.cpp
@@ -74,6 +74,21 @@
         found->second.reportedLive = { live.begin(), live.end() };
 }
 
+bool ControlPeerTable::recordZone(InstanceId instance, const std::string& zone)
+{
+    const auto found = this->knownPeers.find(instance);
+    if (found == this->knownPeers.end() || found->second.zone == zone)
+        return false;
+    found->second.zone = zone;
+    return true;
+}
+
+std::string ControlPeerTable::zoneOf(InstanceId instance) const
+{
+    const auto found = this->knownPeers.find(instance);
+    return found == this->knownPeers.end() ? std::string {} : found->second.zone;
+}
+
 bool ControlPeerTable::reportsLive(InstanceId instance, InstanceId other) const
 {
     const auto found = this->knownPeers.find(instance);
--- a/src/zinnia/feed/control_peer_table.hpp
+++ b/src/zinnia/feed/control_peer_table.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace zinnia::feed {
@@ -48,6 +49,10 @@
     bool addPeers(const std::vector<InstanceId>& instances, TimePoint now);
     /** @brief Records which instances a peer reports as live. */
     void recordLiveReport(InstanceId instance, const std::vector<InstanceId>& live);
+    /** @brief Records the availability zone of a peer. @return True if it was not known, or has changed. */
+    bool recordZone(InstanceId instance, const std::string& zone);
+    /** @return The availability zone of a peer; empty if it is not known. */
+    [[nodiscard]] std::string zoneOf(InstanceId instance) const;
     /** @return True if a peer has reported, in its last message, that it receives messages of another instance. */
     [[nodiscard]] bool reportsLive(InstanceId instance, InstanceId other) const;
     /**
@@ -69,6 +74,7 @@
         /** Zero before the first message. */
         TimePoint lastMessageAt;
         Epoch epoch;
+        std::string zone;
         /** Instances that this peer reports as live. */
         std::set<InstanceId> reportedLive;
     };
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -109,8 +109,7 @@
     }
     this->refresh();
     this->gossip();
-    if (this->settings.member.sharesLoad)
-        this->sendZoneSummary();
+    this->sendZoneSummary();
     return std::nullopt;
 }
 
@@ -118,6 +117,7 @@
 {
     ReplicaDriverSettings driver;
     driver.cluster = this->settings.cluster.id;
+    driver.zone = this->settings.member.zone;
     driver.replica.self = this->settings.instance;
     driver.replica.bootstrap = this->settings.bootstrap;
     driver.replica.targetVoterCount = this->settings.voters;
@@ -173,8 +173,8 @@
 {
     std::vector<ReplicaPeer> peers;
     for (const auto& peer : this->peerTable.peers())
-        peers.push_back(
-            { peer, Endpoint { this->settings.member.addressOf(peer), this->settings.member.ports.stream } });
+        peers.push_back({ peer, Endpoint { this->settings.member.addressOf(peer), this->settings.member.ports.stream },
+            this->peerTable.zoneOf(peer) });
     return peers;
 }
 
@@ -184,6 +184,19 @@
         this->replica->setPeers(this->replicaPeers());
 }
 
+std::size_t FleetProcess::votersInOneZone(const consensus::Status& status) const
+{
+    consensus::ZoneTable zones { { this->settings.instance, this->settings.member.zone } };
+    for (const auto& voter : status.voters) {
+        if (const std::string zone = this->peerTable.zoneOf(voter.instance); !zone.empty())
+            zones.emplace(voter.instance, zone);
+    }
+    std::size_t most = 0;
+    for (const auto& voter : status.voters)
+        most = std::max(most, consensus::votersInZoneOf(voter.instance, { status.voters }, zones));
+    return most;
+}
+
 void FleetProcess::rememberVoters(const consensus::Status& status)
 {
     std::vector<InstanceId> voters;
@@ -335,6 +348,8 @@
     this->metrics.gauge({ "zinnia_control_term" }).set(static_cast<double>(status.term));
     this->metrics.gauge({ "zinnia_control_commit_index" }).set(static_cast<double>(status.commit));
     this->metrics.gauge({ "zinnia_control_voters" }).set(static_cast<double>(status.voters.size()));
+    this->metrics.gauge({ "zinnia_control_voters_in_one_zone" })
+        .set(static_cast<double>(this->votersInOneZone(status)));
     this->metrics.gauge({ "zinnia_routes_version" }).set(static_cast<double>(this->log.state().routes().version.value));
     this->metrics.gauge({ "zinnia_upstreams_announced" }).set(static_cast<double>(this->announcementTable.size()));
 }
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -149,6 +149,8 @@
     void setPeers();
     /** @brief Keeps contact with the voters: after a restart the seeds may name none of them any more. */
     void rememberVoters(const consensus::Status& status);
+    /** @return The largest number of voters of one zone, as far as zones are known. */
+    [[nodiscard]] std::size_t votersInOneZone(const consensus::Status& status) const;
     void continueStop(int turnsLeft);
     [[nodiscard]] bool hasLeader() const;
     /** @return True if this instance leads, or follows a leader closely: its routing state is at most about 1 s old. */
--- a/src/zinnia/runtime/fleet_process_feed.cpp
+++ b/src/zinnia/runtime/fleet_process_feed.cpp
@@ -141,12 +141,12 @@
         decode(std::type_identity<feed::FeedRequest> {});
     else if (message.kind == wire::MessageKind::StatePartsRequest)
         decode(std::type_identity<feed::StatePartsRequest> {});
-    else if (message.kind == wire::MessageKind::LoadReport || message.kind == wire::MessageKind::ZoneSummary) {
+    else if (message.kind == wire::MessageKind::ZoneSummary)
+        decode(std::type_identity<load::ZoneSummary> {});
+    else if (message.kind == wire::MessageKind::LoadReport) {
         // Ignored without a log line if load is not shared: each router that shares it sends several a second.
-        if (this->settings.member.sharesLoad && message.kind == wire::MessageKind::LoadReport)
+        if (this->settings.member.sharesLoad)
             decode(std::type_identity<load::LoadReport> {});
-        else if (this->settings.member.sharesLoad)
-            decode(std::type_identity<load::ZoneSummary> {});
     } else
         runtime::log(Event::MessageRefused, Field { "reason", RefusalReason::UnknownKind });
 }
--- a/src/zinnia/runtime/fleet_process_load.cpp
+++ b/src/zinnia/runtime/fleet_process_load.cpp
@@ -1,6 +1,7 @@
 #include "zinnia/load/route_facts.hpp"
 #include "zinnia/runtime/fleet_process.hpp"
 #include "zinnia/runtime/logger.hpp"
+#include "zinnia/upstream/announcement_limits.hpp"
 
 #include <algorithm>
 #include <set>
@@ -12,6 +13,8 @@
 
     /** Interval of summaries to the control instances of other zones. */
     constexpr Milliseconds summaryInterval { 200 };
+    /** Interval at which the other control instances are told the zone of this one if load is not shared. */
+    constexpr Milliseconds zoneInterval { 1000 };
     /** Interval at which the usable upstreams are computed without an announcement, for cold starts that end. */
     constexpr Milliseconds upstreamInterval { 500 };
     /** Interval at which the figures of services are written to the metrics. */
@@ -45,7 +48,10 @@
 
 void FleetProcess::receive(InstanceId sender, const load::ZoneSummary& message, const Endpoint&)
 {
-    (void)this->loadTable.merge(sender, message, this->loop->now());
+    if (message.zone.size() <= upstream::maxNameBytes && this->peerTable.recordZone(sender, message.zone))
+        this->setPeers();
+    if (this->settings.member.sharesLoad)
+        (void)this->loadTable.merge(sender, message, this->loop->now());
 }
 
 void FleetProcess::refreshLoadTable(TimePoint now)
@@ -134,7 +140,15 @@
 
 void FleetProcess::sendZoneSummary()
 {
-    this->loop->schedule(summaryInterval, [this] { this->sendZoneSummary(); });
+    const bool sharesLoad = this->settings.member.sharesLoad;
+    this->loop->schedule(sharesLoad ? summaryInterval : zoneInterval, [this] { this->sendZoneSummary(); });
+    // Without load, it tells only the zone. The previous release ignores it.
+    if (!sharesLoad) {
+        const load::ZoneSummary zoneOnly { 0, this->settings.member.zone, {} };
+        for (const auto& peer : this->peerTable.peers())
+            this->link->send(peer, wire::MessageKind::ZoneSummary, zoneOnly);
+        return;
+    }
     const auto summary = this->loadTable.makeSummary(this->loop->now());
     this->publish(this->loadWatch.observe(summary.value_or(load::ZoneSummary {})));
     if (!summary)
--- a/src/zinnia/runtime/replica_driver.cpp
+++ b/src/zinnia/runtime/replica_driver.cpp
@@ -74,10 +74,15 @@
 void ReplicaDriver::setPeers(const std::vector<ReplicaPeer>& peers)
 {
     std::vector<InstanceId> instances { this->settings.replica.self };
+    consensus::ZoneTable zones;
+    if (!this->settings.zone.empty())
+        zones[this->settings.replica.self] = this->settings.zone;
     for (const auto& peer : peers) {
         if (peer.instance == this->settings.replica.self)
             continue;
         instances.push_back(peer.instance);
+        if (!peer.zone.empty())
+            zones[peer.instance] = peer.zone;
         if (!this->clients.contains(peer.instance))
             this->clients[peer.instance]
                 = std::make_unique<StreamClient>(*this->poller, peer.address, this->settings.streams);
@@ -85,7 +90,7 @@
     // Also closes the connections to instances that are no longer in the group.
     std::erase_if(this->clients,
         [&](const auto& item) { return std::find(instances.begin(), instances.end(), item.first) == instances.end(); });
-    this->enqueue(consensus::InstancesUpdated { std::move(instances) });
+    this->enqueue(consensus::InstancesUpdated { std::move(instances), std::move(zones) });
 }
 
 std::optional<RefusalReason> ReplicaDriver::receive(const wire::OpenedMessage& message)
--- a/src/zinnia/runtime/replica_driver.hpp
+++ b/src/zinnia/runtime/replica_driver.hpp
@@ -22,12 +22,16 @@
 struct ReplicaPeer {
     InstanceId instance;
     Endpoint address;
+    /** Availability zone; empty if it is not known. */
+    std::string zone {};
 };
 
 struct ReplicaDriverSettings {
     /** Seed 0 is replaced by a random one. */
     consensus::Settings replica;
     ClusterId cluster;
+    /** Availability zone of this instance; empty if it is not known. */
+    std::string zone {};
     /** One for each other instance of `replica.instances`. */
     std::vector<ReplicaPeer> peers;
     Milliseconds tick { 20 };
@@ -87,7 +91,7 @@
     void propose(Bytes command, ResultCallback callback);
     /** @brief Confirms leadership; on `Committed` the application's state includes all acknowledged commands. */
     void read(ResultCallback callback);
-    /** @brief Updates the replica's set of instances; for groups with changing membership. */
+    /** @brief Updates the replica's set of instances and their zones; for groups with changing membership. */
     void setPeers(const std::vector<ReplicaPeer>& peers);
     /** @return Why a message of kind `Consensus` was refused, or nothing. */
     [[nodiscard]] std::optional<RefusalReason> receive(const wire::OpenedMessage& message);
--- a/test/zinnia/consensus/dynamic_group_test.cpp
+++ b/test/zinnia/consensus/dynamic_group_test.cpp
@@ -345,5 +345,102 @@
         }
     }
 
+    /** @brief Tells all running instances the zones of all. */
+    void tellZones(Cluster& cluster, const ZoneTable& zones)
+    {
+        std::vector<InstanceId> instances;
+        for (const auto& [id, zone] : zones)
+            instances.push_back(id);
+        for (const auto& [id, node] : cluster.nodes)
+            cluster.handle(id, InstancesUpdated { instances, zones });
+    }
+
+    std::map<std::string, int> votersByZone(const Cluster& cluster, const ZoneTable& zones)
+    {
+        std::map<std::string, int> result;
+        for (const auto& voter : cluster.status(cluster.leader()).voters)
+            ++result[zones.at(voter.instance)];
+        return result;
+    }
+
+    /** Two instances in each of three zones. */
+    const ZoneTable twoInEachZone { { InstanceId { 1 }, "a" }, { InstanceId { 2 }, "b" }, { InstanceId { 3 }, "c" },
+        { InstanceId { 4 }, "a" }, { InstanceId { 5 }, "b" }, { InstanceId { 6 }, "c" } };
+
+    // Guards against a lost voter that is replaced by an instance of a zone that has a voter already: the loss of that
+    // zone then ends the majority, although the group has to bear it.
+    TEST(DynamicGroup, TheLossOfAnyZoneIsBorneAfterTheReplacementOfAVoter)
+    {
+        for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+            Cluster cluster = makeDynamicGroup(6, seed);
+            startInitialVoters(cluster);
+            for (const std::uint32_t id : { 4U, 5U, 6U })
+                cluster.start(id);
+            tellZones(cluster, twoInEachZone);
+            ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }));
+            ASSERT_TRUE(cluster.commitOne());
+            const auto lost = static_cast<std::uint32_t>(1 + seed % 3);
+            cluster.crash(lost);
+            ASSERT_TRUE(cluster.runUntil([&] {
+                const std::uint32_t leader = cluster.leader();
+                return leader != 0 && !isVoter(cluster, leader, lost) && cluster.status(leader).voters.size() == 3;
+            })) << seed;
+            EXPECT_EQ(votersByZone(cluster, twoInEachZone).size(), 3U) << seed;
+            cluster.start(lost);
+            tellZones(cluster, twoInEachZone);
+            cluster.runFor(Milliseconds { 4000 });
+            EXPECT_EQ(cluster.reports.count(zinnia::Event::VoterReplaced), 1U) << seed;
+            const std::uint32_t zone = 1 + seed / 3 % 3;
+            cluster.crash(zone);
+            cluster.crash(zone + 3);
+            ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }, Milliseconds { 4000 })) << seed;
+            EXPECT_TRUE(cluster.commitOne()) << seed;
+        }
+    }
+
+    // Guards against initial voters that share a zone for as long as the group lives, because the seeds do.
+    TEST(DynamicGroup, SpreadsTheInitialVotersOverTheZones)
+    {
+        const ZoneTable zones { { InstanceId { 1 }, "a" }, { InstanceId { 2 }, "a" }, { InstanceId { 3 }, "a" },
+            { InstanceId { 4 }, "b" }, { InstanceId { 5 }, "c" }, { InstanceId { 6 }, "c" } };
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            Cluster cluster = makeDynamicGroup(6, seed);
+            startInitialVoters(cluster);
+            for (const std::uint32_t id : { 4U, 5U, 6U })
+                cluster.start(id);
+            tellZones(cluster, zones);
+            ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }));
+            const std::uint32_t leader = cluster.leader();
+            ASSERT_TRUE(cluster.runUntil([&] { return votersByZone(cluster, zones).size() == 3; })) << seed;
+            EXPECT_EQ(cluster.leader(), leader) << seed;
+            EXPECT_EQ(cluster.reports.count(zinnia::Event::VoterReplaced), 2U) << seed;
+            EXPECT_TRUE(cluster.commitOne()) << seed;
+            // No further change follows, and none is made for zones that cannot be improved.
+            cluster.runFor(Seconds { 30 });
+            EXPECT_EQ(cluster.reports.count(zinnia::Event::VoterReplaced), 2U) << seed;
+            EXPECT_EQ(cluster.findInconsistency(), "") << seed;
+        }
+    }
+
+    // Guards against voters that are moved between zones while another one is out of contact, which leaves the group
+    // with one voter less than it can bear.
+    TEST(DynamicGroup, DoesNotSpreadVotersWhileOneIsUnreachable)
+    {
+        const ZoneTable zones { { InstanceId { 1 }, "a" }, { InstanceId { 2 }, "a" }, { InstanceId { 3 }, "c" },
+            { InstanceId { 4 }, "b" } };
+        Cluster cluster = makeDynamicGroup(4, 3);
+        startInitialVoters(cluster);
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != 0; }));
+        ASSERT_TRUE(cluster.commitOne());
+        cluster.start(4);
+        tellZones(cluster, zones);
+        // Instance 3 is lost and replaced by the only learner; nothing else is changed.
+        cluster.crash(3);
+        cluster.runFor(Milliseconds { 8000 });
+        EXPECT_EQ(cluster.reports.count(zinnia::Event::VoterReplaced), 1U);
+        EXPECT_TRUE(isVoter(cluster, cluster.leader(), 4));
+        EXPECT_EQ(votersByZone(cluster, zones)["a"], 2);
+    }
+
 } // namespace
 } // namespace zinnia::consensus::test
--- a/test/zinnia/feed/feed_client_test.cpp
+++ b/test/zinnia/feed/feed_client_test.cpp
@@ -226,5 +226,18 @@
         EXPECT_EQ(client.selectedControls(now).size(), 3U);
     }
 
+    // Guards against a zone that is reported as changed with each message, or kept for a peer that is not known.
+    TEST(ControlPeerTable, KeepsTheZonesOfKnownPeers)
+    {
+        ControlPeerTable table { {}, one, { two }, start };
+        EXPECT_EQ(table.zoneOf(two), "");
+        EXPECT_TRUE(table.recordZone(two, "a"));
+        EXPECT_FALSE(table.recordZone(two, "a"));
+        EXPECT_EQ(table.zoneOf(two), "a");
+        EXPECT_TRUE(table.recordZone(two, "b"));
+        EXPECT_FALSE(table.recordZone(three, "a"));
+        EXPECT_EQ(table.zoneOf(three), "");
+    }
+
 } // namespace
 } // namespace zinnia::feed
--- a/test/zinnia/runtime/fleet_process_test.cpp
+++ b/test/zinnia/runtime/fleet_process_test.cpp
@@ -144,6 +144,9 @@
                     }
                     if (message.kind == wire::MessageKind::Gossip)
                         ++this->gossipMessages;
+                    if (const auto summary = wire::decode<load::ZoneSummary>(message.body);
+                        summary && message.kind == wire::MessageKind::ZoneSummary)
+                        this->zoneOfInstance = summary.value().zone;
                     if (message.kind == wire::MessageKind::StatePart && this->onPart)
                         this->onPart(wire::decode<feed::StatePart>(message.body).value());
                     if (auto reply = wire::decode<load::LoadReply>(message.body);
@@ -215,6 +218,7 @@
         int feedReplies {};
         feed::FeedReply lastReply;
         int gossipMessages {};
+        std::string zoneOfInstance;
         std::function<void(const feed::StatePart&)> onPart;
     };
 
@@ -286,6 +290,16 @@
         EXPECT_TRUE(this->loadReplies.front().services.empty());
     }
 
+    // Guards against a leader that does not know the zones of the others, and so cannot spread the voters over them.
+    TEST_F(FleetProcessTest, TellsOtherControlInstancesItsZoneWithoutLoadSharing)
+    {
+        this->start();
+        this->startRouter("b");
+        this->link->send(this->settings.instance, wire::MessageKind::Gossip, feed::Gossip {});
+        this->runFor(Milliseconds { 1300 });
+        EXPECT_EQ(this->zoneOfInstance, "a");
+    }
+
     // Guards against an instance without load sharing that answers the new kinds, or fills its log with them.
     TEST_F(FleetProcessTest, IgnoresLoadMessagesWithoutLoadSharing)
     {
