runtime: heartbeats do not wait behind the send buffer of a large message

Callers would see: changes that are not acknowledged, as the connection to a follower is closed while it receives a large entry, and the leader loses its majority. Cause: the kernel takes megabytes of a large message ahead of the link. A heartbeat behind them gets no answer within a second, and its timeout closes the connection with the large message on it. Evidence: Stream.SendsALargeBodyOverASlowLink with 0.8 MB/s in place of 3.2: without the limit small messages time out after 1.0 s and the transfer starts again, with it they take less than 0.5 s (3 of 3 runs each). Change: at most 32 KiB are unsent in the kernel (TCP_NOTSENT_LOWAT). The test is stricter than before: a slower link, and a bound on the time of small messages.

--- a/src/zinnia/runtime/stream_client.cpp
+++ b/src/zinnia/runtime/stream_client.cpp
@@ -11,6 +11,13 @@
 
 namespace zinnia::runtime {
 
+namespace {
+
+    /** Bytes that the kernel keeps beyond those in flight; without it, small messages wait behind megabytes. */
+    constexpr int maxUnsentBytes = 1 << 15;
+
+} // namespace
+
 StreamClient::StreamClient(Poller& poller, const Endpoint& peer, StreamClientSettings settings)
     : poller { &poller }
     , peer { peer }
@@ -53,6 +60,7 @@
         return this->scheduleReconnect();
     const int enabled = 1;
     setsockopt(this->connecting, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+    setsockopt(this->connecting, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &maxUnsentBytes, sizeof(maxUnsentBytes));
     const sockaddr_in address = internal::socketAddressOf(this->peer);
     const int status = ::connect(this->connecting, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
     const bool started = status == 0 || errno == EINPROGRESS;
--- a/test/zinnia/runtime/stream_test.cpp
+++ b/test/zinnia/runtime/stream_test.cpp
@@ -43,6 +43,7 @@
     /** @brief Forwards one connection to a server, at a limited rate in its direction. */
     class SlowRelay {
     public:
+        /** @param bytesPerTurn Bytes forwarded in 5 ms. */
         SlowRelay(EventLoop& loop, const Endpoint& target, std::size_t bytesPerTurn)
             : loop { &loop }
             , target { internal::socketAddressOf(target) }
@@ -106,28 +107,34 @@
     TEST_F(Stream, SendsALargeBodyOverASlowLink)
     {
         const auto server = this->serve(anyPort, &Stream::echo);
-        SlowRelay relay { *this->loop, server->address(), 16U << 10U };
+        // 0.8 MB/s.
+        SlowRelay relay { *this->loop, server->address(), 4U << 10U };
         StreamClientSettings settings;
-        settings.timeout = Milliseconds { 500 };
+        settings.timeout = Milliseconds { 1000 };
         StreamClient client { *this->loop, relay.address, settings };
         std::optional<bool> largeArrived;
-        const Bytes large(6U << 20U, 7);
+        const Bytes large(3U << 20U, 7);
         const TimePoint start = this->clock.now();
+        Microseconds longest {};
         ASSERT_TRUE(client.send(large,
             [&](const Result<Bytes, StreamError>& answer) { largeArrived = answer && answer.value() == large; }));
         int smallArrived = 0;
         for (int i = 0; i < 5; ++i) {
             bool done = false;
+            const TimePoint sentAt = this->clock.now();
             ASSERT_TRUE(client.send({ 1 }, [&](const Result<Bytes, StreamError>& answer) {
                 done = true;
                 smallArrived += answer ? 1 : 0;
             }));
             ASSERT_TRUE(this->runUntil([&] { return done; }));
             EXPECT_FALSE(largeArrived.has_value());
+            longest = std::max(longest, this->clock.now() - sentAt);
         }
         ASSERT_TRUE(this->runUntil([&] { return largeArrived.has_value(); }));
         EXPECT_TRUE(*largeArrived);
         EXPECT_EQ(smallArrived, 5);
+        // Heartbeats have to arrive within the shortest election timeout.
+        EXPECT_LT(longest, Milliseconds { 500 });
         EXPECT_GT(this->clock.now() - start, 2 * settings.timeout);
     }
 
