--- a/src/zinnia/consensus/replica.hpp
+++ b/src/zinnia/consensus/replica.hpp
@@ -154,8 +154,8 @@
     void appendAsLeader(std::variant<Noop, Command, Membership> payload);
     [[nodiscard]] bool mergeEntries(const std::vector<LogEntry>& entries);
     void sendAppend(const ReplicaId& peer, Progress& progress, bool heartbeat);
-    /** @brief Sends a heartbeat that depends on no message in transit. */
-    void sendDuringTransfer(const ReplicaId& peer, const Progress& progress);
+    /** @brief Sends a heartbeat that the follower accepts whatever has become of the messages in transit. */
+    void sendIndependentHeartbeat(const ReplicaId& peer, const Progress& progress);
     /** @brief Sends a large message. No other one follows until it is answered or known to be lost. */
     void startTransfer(Progress& progress, Message message, LogIndex previous, LogIndex last);
     /** @brief Makes the leader send the entries of a lost transfer again. */
@@ -200,6 +200,7 @@
     [[nodiscard]] TimePoint lastContactOf(const ReplicaId& voter) const;
     /** @return The membership with the learner as a voter, or nothing if the change is not needed or not allowed. */
     [[nodiscard]] std::optional<Membership> membershipWith(const ReplicaId& id, const Progress& learner);
+    /** @return The membership with the learner in the place of the voter. Reports the change. */
     [[nodiscard]] Membership replaceVoter(Membership membership, const ReplicaId& voter, const ReplicaId& learner);
     [[nodiscard]] std::vector<ReplicaId> peers() const;
 
--- a/src/zinnia/consensus/replication.cpp
+++ b/src/zinnia/consensus/replication.cpp
@@ -50,7 +50,7 @@
     if (state.transferDeliveredAt && this->now - *state.transferDeliveredAt >= this->settings.maxElectionTimeout)
         abandonTransfer(state);
     if (state.transfer != 0)
-        return this->sendDuringTransfer(peer, state);
+        return this->sendIndependentHeartbeat(peer, state);
     const std::int64_t sentAt = this->now.time_since_epoch().count();
     const auto previousTerm = this->log.termAt(state.nextIndex - 1);
     if (!previousTerm) {
@@ -59,7 +59,7 @@
             const Snapshot& snapshot = this->log.snapshot();
             this->startTransfer(state, InstallSnapshot { this->headerTo(peer), snapshot, sentAt }, 0, snapshot.index);
         } else if (heartbeat) {
-            this->sendDuringTransfer(peer, state);
+            this->sendIndependentHeartbeat(peer, state);
         }
         return;
     }
@@ -77,7 +77,7 @@
     this->send(std::move(message));
 }
 
-void Replica::sendDuringTransfer(const ReplicaId& peer, const Progress& state)
+void Replica::sendIndependentHeartbeat(const ReplicaId& peer, const Progress& state)
 {
     // Index 0 precedes the first entry, so the consistency check succeeds in every log.
     AppendEntries message { this->headerTo(peer), 0, 0, 0, this->now.time_since_epoch().count(), {} };
--- a/src/zinnia/feed/state_transfer.cpp
+++ b/src/zinnia/feed/state_transfer.cpp
@@ -11,6 +11,8 @@
 
     /** Number of states that a control instance keeps, the newest one included. */
     constexpr std::size_t maxKeptStates = 4;
+    /** Parts beyond this number in one request are not sent, so that a small request does not fill the link. */
+    constexpr std::size_t maxPartsPerAnswer = 64;
 
     std::uint64_t digestOf(BytesView bytes)
     {
@@ -43,6 +45,8 @@
     const Entry& entry = kept == this->entries.end() ? this->entries.back() : *kept;
     for (const std::uint32_t part : request.parts) {
         const std::size_t offset = part * statePartBytes;
+        if (parts.size() == maxPartsPerAnswer)
+            break;
         if (offset >= entry.bytes.size())
             continue;
         const auto first = entry.bytes.begin() + static_cast<std::ptrdiff_t>(offset);
--- a/test/zinnia/feed/state_transfer_test.cpp
+++ b/test/zinnia/feed/state_transfer_test.cpp
@@ -217,6 +217,7 @@
         change(7);
         EXPECT_EQ(archive.answer({ StateSubject::Routing, 5, { 0, 2, 3 } }).size(), 2U);
         EXPECT_EQ(archive.answer({ StateSubject::Routing, 6, { 0 } }).front().revision, 7U);
+        EXPECT_EQ(archive.answer({ StateSubject::Routing, 7, std::vector<std::uint32_t>(1000) }).size(), 64U);
         // After the loss of its disk an instance begins with an older state.
         change(3);
         EXPECT_TRUE(archive.answer({ StateSubject::Routing, 5, { 0 } }).empty());
