--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -22,6 +22,7 @@
           "drain_ms": 3000, "grace_s": 6, "config_apply_ms": 3000, "evacuate_ms": 5000, "max_flow_s": 60}
 HEARTBEAT_MS = 1200
 IDLE_TIMEOUT_MS = 15000
+CLIENT_DELAY = 0.003  # s; one way from servers to clients, as on the site sheet
 
 
 class CaseError(Exception):
@@ -199,6 +200,7 @@
         self.state, self.seq, self.flows, self.runs = "ready", 0, {}, 0
         self.on_run = lambda target, flow, data: None
         self.loses = lambda packet: False
+        self.loses_answer = lambda answer: False
         self.born = int(time.time() * 1000)
         self.transport = self.health = self.beats = None
         world.targets.append(self)
@@ -272,6 +274,7 @@
                 flow = {"seq": random.getrandbits(31), "next": packet.seq + 1, "open": False, "request": b"",
                         "answers": {}}
                 self.flows[key] = flow
+                asyncio.create_task(self._repeat_opening(packet, flow))
             self._send(packet, flow["seq"], packet.seq + 1, SYN | ACK)
         elif flow is None or (not flow["open"] and packet.ack != flow["seq"] + 1):
             if not packet.flags & RST:
@@ -287,6 +290,17 @@
             if packet.data:
                 self._run(packet, flow)
 
+    async def _repeat_opening(self, packet, flow):
+        """Retransmits the answer to an opening after 200 ms; the interval doubles up to 1.6 s; gives up after 8."""
+        delay = 0.2
+        for _ in range(8):
+            await asyncio.sleep(delay)
+            delay = min(2 * delay, 1.6)
+            if flow["open"] or self.flows.get(packet.source) is not flow:
+                return
+            self._send(packet, flow["seq"], packet.seq + 1, SYN | ACK)
+        del self.flows[packet.source]
+
     def _run(self, packet, flow):
         if packet.seq == flow["next"]:
             flow["next"] += len(packet.data)
@@ -300,8 +314,14 @@
 
     def _send(self, packet, seq, ack, flags, data=b""):
         answer = Packet(packet.destination, packet.source, seq, ack, packet.echo, flags, data)
+        if self.loses_answer(answer):
+            self.world.record.line(f"the link from {self.name} loses a packet {answer.names()} to {packet.source}")
+        else:
+            asyncio.get_running_loop().call_later(CLIENT_DELAY, self._deliver, answer)
+
+    def _deliver(self, answer):
         if self.transport:
-            self.transport.sendto(answer.encode(), (packet.source[0], self.world.ports["packets"]))
+            self.transport.sendto(answer.encode(), (answer.destination[0], self.world.ports["packets"]))
 
 
 class Client(asyncio.DatagramProtocol):
@@ -354,7 +374,7 @@
 
     def __init__(self, client, port, route, router):
         self.client, self.port, self.route, self.router = client, port, route, router
-        self.echo = self.seq = self.peer_next = 0
+        self.echo = self.seq = self.peer_next = self.peer_first = 0
         self.is_open, self.reset_by = False, None
         self.opened, self.news = asyncio.Event(), asyncio.Event()
         self.answer = None
@@ -381,11 +401,13 @@
             self.news.set()
         elif packet.flags & SYN:
             if not self.is_open and self.reset_by is None and self.peer_next == 0:
-                self.peer_next = packet.seq + 1
+                self.peer_next = self.peer_first = packet.seq + 1
                 self.seq = 1001
                 self.is_open = True
                 self.send(self.seq, self.peer_next, self.echo, ACK)
                 self.opened.set()
+            elif self.is_open and packet.seq + 1 == self.peer_first:
+                self.send(self.seq, self.peer_next, self.echo, ACK)
         elif packet.data and packet.seq == self.peer_next:
             self.peer_next += len(packet.data)
             self.answer = packet.data.decode(errors="replace")
