Review: an open flow follows the echo of another target after its router has left (review/13)

Cause: a copy of an opening goes to another target, and only the record of the router that took it keeps the flow at the target where it opened.

--- a/review/lib-3/bed.py
+++ b/review/lib-3/bed.py
@@ -229,7 +229,9 @@
             if flow is None:
                 flow = self.flows[key] = {"seq": random.getrandbits(31), "open": False, "next": packet.seq + 1,
                                           "echo": packet.echo}
-            self._send(packet, flow, flow["seq"], packet.seq + 1, SYN | ACK)
+                asyncio.get_running_loop().create_task(self._answer_opening(packet, key, flow))
+            else:
+                self._send(packet, flow, flow["seq"], packet.seq + 1, SYN | ACK)
             return
         if flow is None:
             if not packet.flags & RST:
@@ -254,6 +256,20 @@
             flow["next"] = packet.seq + packet.size
             asyncio.get_running_loop().create_task(self._run(packet, flow))
 
+    async def _answer_opening(self, packet, key, flow):
+        """Sends the SYN+ACK, and 8 retransmissions at most until the flow opens: after 200 ms, then up to 1.6 s."""
+        lost = self.bed.is_first_opening(key) and random.random() < self.bed.lost_answers
+        delay = 0.2
+        for attempt in range(9):
+            if not self.alive or flow["open"] or self.flows.get(key) is not flow:
+                return
+            if lost and attempt == 0:
+                self.bed.record.write(f"network: the first answer of {self.id} to {key[0][0]}:{key[0][1]} is lost")
+            else:
+                self._send(packet, flow, flow["seq"], packet.seq + 1, SYN | ACK)
+            await asyncio.sleep(delay)
+            delay = min(2 * delay, 1.6)
+
     async def _run(self, packet, flow):
         head = packet.data.decode()
         request = re.search(r"Zinniamount-Request-Id: (\S+)", head).group(1)
@@ -326,6 +342,8 @@
             self.bed.broken("MIXED", f"{self.name()} got a packet that its sender did not write so")
             return
         if packet.flags & SYN and self.state != "new":
+            if self.client.bed.keeps_last_echo:
+                self.echo = packet.echo
             return
         self.echo = packet.echo
         self.inbox.put_nowait(packet)
@@ -405,7 +423,12 @@
         self.routers = [Program(self, "router", f"front-{zone}-{j + 1}", f"127.{self.net}.2.{10 * i + j + 1}", zone)
                         for i, zone in enumerate(zones) for j in range(routers_per_zone)]
         self.targets, self.clients = [], []
-        self.probe_starts = {}
+        self.opened = set()
+
+    #: Clients place in their packets the last echo that they received on a flow, in whatever packet.
+    keeps_last_echo = False
+    #: Share of the flows of which the first target's first answer to the opening is lost on its way to the client.
+    lost_answers = 0.0
 
     def address(self, group, index):
         return f"127.{self.net}.{group}.{index}"
@@ -414,6 +437,12 @@
         self.violations.append((rule, text))
         self.record.write(f"BROKEN {rule}: {text}")
 
+    def is_first_opening(self, key):
+        """True for the first target that gets an opening of a flow."""
+        first = key not in self.opened
+        self.opened.add(key)
+        return first
+
     def on_foreign_datagram(self, target, intended):
         pass
 
