Review: two removals of core machines with prepared successors end the group (review/11)

Cause: a group with 2 n + 1 voters keeps successors that have caught up as learners, so two voters that are removed within 0.5 s leave one of three. Disruption: two core machines are removed for good without SIGTERM, 0.3 s apart, their successors ready for 8 s.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,79 +1,123 @@
-"""Another writer's heartbeat, in which the field `version` is missing, names a target under a service that is not its
-own. Requests for that service must not run at the target."""
+"""Two core machines are removed for good without SIGTERM, shortly after each other. Their successors have run for twice
+`catch_up_s` by then, so neither counts as lost. The configuration must still be there afterwards.
+
+With SLOW_LEADER=1 the core machine that leads is slow meanwhile, the one loss that is allowed; GAP_S is the time between
+the two removals."""
 
 import asyncio
 import os
-import random
+import signal
 import sys
 import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib-3"))
-from bed import HEARTBEAT_S, Bed, Client, Target, configuration, http, run  # noqa: E402
+from bed import BOUNDS, Bed, Program, Target, configuration, http, run  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ROUTES = {"r-rounds": ("127.198.0.1", 8443, "unsafe", "rounds"), "r-sheets": ("127.198.0.2", 8443, "safe", "sheets")}
+SLOW_LEADER = os.environ.get("SLOW_LEADER", "0") != "0"
+SLOWER, SLOW_S, PERIOD_S = 5, 5.5, 0.5  # node_slow: times, and for how long; it runs for a part of each period
+GAP_S = float(os.environ.get("GAP_S", "0.3"))
+ROUTES = {"r-rounds": ("127.198.0.1", 8443, "unsafe", "rounds")}
 
 
 class Case(Bed):
-    def on_run(self, target, request, line):
-        super().on_run(target, request, line)
-        flow, _ = self.sent[request]
-        service = next(item[3] for item in ROUTES.values() if flow.route == item[:2])
-        if target.service != service:
-            self.broken("ROUTE", f"request {request} for {service} is run by {target.id} of {target.service}")
+    async def leader(self):
+        """The core machine to which the others redirect, or that answers itself."""
+        for _ in range(40):
+            for core in self.cores:
+                if not core.is_running():
+                    continue
+                status, location, _ = await http(core.ip, self.ports["control"], "GET", "/zinniamount/config")
+                if status == 307:
+                    ip = location.split("/")[2].split(":")[0]
+                    return next(item for item in self.cores if item.ip == ip)
+                if status == 200:
+                    return core
+            await asyncio.sleep(0.1)
+        return None
 
-    async def other_writer(self, target, born):
-        """Reports the target each 1.2 s under the wrong service, and without `version`."""
-        seq = 0
-        while True:
-            seq += 1
-            body = {"service": "rounds", "address": f"{target.ip}:{target.port}", "zone": target.zone, "slots": 2,
-                    "state": "ready", "cold_remaining_ms": 0, "seq": seq, "born": born}
-            node = random.choice(self.cores)
-            status, _, _ = await http(node.ip, self.ports["control"], "PUT", f"/zinniamount/instances/{target.id}",
-                                      body)
-            self.record.write(f"other writer: heartbeat {seq} for {target.id}, service rounds, no version, to "
-                              f"{node.name}: {status}")
-            await asyncio.sleep(HEARTBEAT_S)
+    async def run_slowly(self, program, end):
+        """Lets a process run for a fifth of the time only."""
+        try:
+            while time.monotonic() < end:
+                program.signal(signal.SIGSTOP)
+                await asyncio.sleep(PERIOD_S * (SLOWER - 1) / SLOWER)
+                program.signal(signal.SIGCONT)
+                await asyncio.sleep(PERIOD_S / SLOWER)
+        finally:
+            program.signal(signal.SIGCONT)
 
-    async def traffic(self, client, route, end):
-        while time.monotonic() < end:
-            flow = client.new_flow(route)
-            if await flow.open():
-                for _ in range(3):
-                    await flow.request("POST /confirm HTTP/1.1" if route[0] == "127.198.0.1" else "GET /sheet HTTP/1.1")
-            flow.close()
-            await asyncio.sleep(0.1)
+    async def read(self):
+        """One read at each running core machine. Returns the version, or None if none is sure."""
+        for core in self.cores:
+            if not core.is_running():
+                continue
+            host = core.ip
+            for _ in range(3):
+                status, location, content = await http(host, self.ports["control"], "GET", "/zinniamount/config")
+                if status != 307:
+                    break
+                host = location.split("/")[2].split(":")[0]
+            self.record.write(f"operator: GET /zinniamount/config at {core.name} is answered with {status}")
+            if status == 200:
+                return int(content.split(b'"version":')[1].split(b",")[0])
+        return None
 
 
 async def main():
     bed = Case(HERE)
     try:
         await bed.start()
-        port = bed.ports["packets"] + 1
-        for i, (service, zone) in enumerate([("rounds", "zone-a"), ("rounds", "zone-b"), ("rounds", "zone-c"),
-                                             ("sheets", "zone-a"), ("sheets", "zone-b")]):
-            target = Target(bed, service, bed.address(3, i + 1), zone, port)
-            bed.targets.append(target)
-            await target.start()
-        status, _ = await bed.order("PUT", "/zinniamount/config", configuration(7, ROUTES, ("rounds", "sheets")))
+        target = Target(bed, "rounds", bed.address(3, 1), "zone-a", bed.ports["packets"] + 1)
+        bed.targets.append(target)
+        await target.start()
+        status, _ = await bed.order("PUT", "/zinniamount/config", configuration(7, ROUTES, ("rounds",)))
         if status != 200 or not await bed.wait_ready():
             return None
-        await asyncio.sleep(3)
-        for i, zone in enumerate(("zone-a", "zone-b", "zone-c")):
-            client = Client(bed, bed.address(4, i + 1), zone)
-            bed.clients.append(client)
-            await client.start()
-        if TROUBLE:
-            bed.tasks.append(asyncio.create_task(bed.other_writer(bed.targets[3], int(time.time() * 1000))))
-        end = time.monotonic() + 12
-        await asyncio.gather(*(bed.traffic(client, item[:2], end) for client in bed.clients
-                               for item in ROUTES.values()))
-        answers = len(bed.sent)
-        bed.record.write(f"{answers} requests were sent, {len(bed.violations)} broke the rule")
-        return bed.violations if answers > 50 else None
+        first = list(bed.cores)
+        leader = await bed.leader()
+        if leader is None:
+            return None
+        bed.record.write(f"{leader.name} leads")
+        others = [core for core in first if core is not leader]
+        successors = [Program(bed, "fleet", f"core-{core.zone}-2", bed.address(1, 11 + i), core.zone)
+                      for i, core in enumerate(others)]
+        seeds = bed.cores
+        for successor in successors:
+            successor.start()
+        bed.cores = seeds + successors
+        await asyncio.sleep(2 * BOUNDS["catch_up_s"])
+        status, _ = await bed.order("PUT", "/zinniamount/config", configuration(9, ROUTES, ("rounds",)))
+        if status != 200 or await bed.leader() is not leader:
+            return None
+        slow_until = time.monotonic() + SLOW_S
+        if TROUBLE and SLOW_LEADER:
+            bed.record.write(f"{leader.name} turns slow, {SLOWER} times, for {SLOW_S} s")
+            bed.tasks.append(asyncio.create_task(bed.run_slowly(leader, slow_until)))
+            await asyncio.sleep(2.0)
+        for core in others if TROUBLE else []:
+            bed.record.write(f"{core.name} is removed for good")
+            core.signal(signal.SIGKILL)
+            core.child.wait()
+            await asyncio.sleep(GAP_S)
+        if SLOW_LEADER:
+            await asyncio.sleep(max(0.0, slow_until - time.monotonic()) + 0.5)
+        bed.record.write("all machines that remain run undisturbed from here on")
+        await asyncio.sleep(BOUNDS["catch_up_s"] + BOUNDS["recovery_s"])
+        version, end = None, time.monotonic() + 10
+        while version is None and time.monotonic() < end:
+            version = await bed.read()
+            await asyncio.sleep(0.5)
+        if version is None:
+            bed.broken("CONFIG", "the configuration, version 9, was acknowledged, and no core machine gives it any more")
+            status, _ = await bed.order("PUT", "/zinniamount/config", configuration(11, ROUTES, ("rounds",)), 10.0)
+            if status == 0:
+                bed.broken("CONFIG", "no core machine acknowledges a change any more")
+        elif version < 9:
+            bed.broken("CONFIG", f"version {version} is read back, version 9 was acknowledged")
+        return bed.violations
     finally:
         await bed.stop()
 
--- a/review/lib-3/bed.py
+++ b/review/lib-3/bed.py
@@ -405,6 +405,18 @@
         self.client.flows.pop(self.port, None)
 
 
+def free_network():
+    """A second byte of loopback addresses that no other case uses, and the socket that keeps it for this one."""
+    while True:
+        network = random.randint(16, 120)
+        guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            guard.bind((f"127.{network}.250.1", 9100))
+            return network, guard
+        except OSError:
+            guard.close()
+
+
 class Bed:
     """The deployment of one case. Cases override the methods on_... to judge what targets and clients see."""
 
@@ -414,7 +426,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.invariants = invariants or ["base", "drain", "config", "cost", "recover", "flows", "places"]
         self.violations, self.sent, self.tasks = [], {}, []
-        self.net = random.randint(16, 120)
+        self.net, self.guard = free_network()
         base = random.randint(12000, 28000)
         self.ports = {"feed": base, "control": base + 100, "ready": base + 101, "packets": base + 102}
         self.cores = []
@@ -521,6 +533,7 @@
             if program.is_running():
                 program.signal(signal.SIGKILL)
                 program.child.wait()
+        self.guard.close()
         if os.environ.get("KEEP"):
             print(self.folder)
         else:
