runtime: an input is refused before it costs more than its limit

Cause: nothing bounded what an input costs to parse. Change: core/input_limits.hpp states the limits: bytes by kind of call, known from the head; depth and values of JSON, counted before it is parsed; lines and path of a head; one budget for all bodies and answers of a listener and one for the streams between our processes; pending proposals in sum. HttpListenerTest.refusesTooLargeHeadersAndBodies uses the renamed setting.

--- a/src/programs/zinnia-fleet/main.cpp
+++ b/src/programs/zinnia-fleet/main.cpp
@@ -13,7 +13,8 @@
     return runProcess(
         settings,
         [&](Epoch epoch, EventLoop& loop) {
-            return FleetProcess::create(settings, { &platform::controlCalls, &platform::routeTableOf }, epoch, loop);
+            return FleetProcess::create(
+                settings, { &platform::controlCalls, &platform::routeTableOf, &platform::callBodyLimit }, epoch, loop);
         },
         [](FleetError error) {
             log(Event::ControlNotStarted, Field { "cause", error });
--- a/src/zinnia/consensus/election.cpp
+++ b/src/zinnia/consensus/election.cpp
@@ -138,6 +138,7 @@
             this->actions.emplace_back(ReadDone { read.id, NotLeader {} });
     }
     this->pendingProposals.clear();
+    this->pendingBytes = 0;
     this->pendingReads.clear();
     this->progress.clear();
     this->votes.clear();
--- a/src/zinnia/consensus/replica.cpp
+++ b/src/zinnia/consensus/replica.cpp
@@ -213,6 +213,7 @@
         return refuse(Refused { RefusalCause::NotReady });
     this->appendAsLeader(Command { event.command });
     this->pendingProposals.emplace(this->log.lastIndex(), event.id);
+    this->pendingBytes += event.command.size();
 }
 
 std::optional<RefusalCause> Replica::refusalCauseFor(std::size_t size) const
@@ -227,6 +228,8 @@
         return RefusalCause::TooLarge;
     if (this->pendingProposals.size() + this->pendingReads.size() >= this->settings.maxPendingProposals)
         return RefusalCause::Overloaded;
+    if (this->pendingBytes > 0 && this->pendingBytes + size > this->settings.maxPendingBytes)
+        return RefusalCause::Overloaded;
     return std::nullopt;
 }
 
--- a/src/zinnia/consensus/replica.hpp
+++ b/src/zinnia/consensus/replica.hpp
@@ -308,6 +308,8 @@
     TransferNumber nextTransfer = 1;
     std::map<ReplicaId, Progress> progress;
     std::map<LogIndex, RequestId> pendingProposals;
+    /** Size of their commands. Unit: bytes. */
+    std::size_t pendingBytes {};
     std::deque<PendingRead> pendingReads;
 
     // Collected for the actions of the current event
--- a/src/zinnia/consensus/replication.cpp
+++ b/src/zinnia/consensus/replication.cpp
@@ -326,6 +326,7 @@
         if (const auto found = this->pendingProposals.find(entry.index); found != this->pendingProposals.end()) {
             this->actions.emplace_back(ProposalDone { found->second, Committed { entry.index } });
             this->pendingProposals.erase(found);
+            this->pendingBytes -= commandBytesOf(entry);
         }
     }
     const LogIndex nextSnapshotIndex
--- a/src/zinnia/consensus/settings.hpp
+++ b/src/zinnia/consensus/settings.hpp
@@ -83,6 +83,8 @@
     std::uint64_t maxEntriesInFlight = 1024;
     /** Maximum number of proposals and reads in progress; further ones are refused as overload. */
     std::size_t maxPendingProposals = 1024;
+    /** Maximum size of all commands of these proposals; a single one is still accepted. Unit: bytes. */
+    std::size_t maxPendingBytes = 16U << 20U;
     /** Maximum size of a command. Unit: bytes. */
     std::size_t maxCommandBytes = 4U << 20U;
     /** Maximum size of a snapshot's application state; the codec accepts byte strings up to 16 MiB. Unit: bytes. */
--- a/src/zinnia/runtime/fleet_process.cpp
+++ b/src/zinnia/runtime/fleet_process.cpp
@@ -28,6 +28,8 @@
     constexpr std::size_t routesReserve = 4096;
     /** An instance whose log is behind by more refers routers to others. */
     constexpr Milliseconds maxLag { 1000 };
+    /** Bodies and answers of all calls that are being received or sent. Unit: bytes. */
+    constexpr std::size_t callBytes = 24U << 20U;
     constexpr Milliseconds stopInterval { 50 };
     /** Unit: stop intervals; 2 s in all. */
     constexpr int maxStopTurns = 40;
@@ -45,7 +47,7 @@
     const FleetSettings& settings, const FleetApi& api, Epoch epoch, EventLoop& loop)
 {
     std::unique_ptr<FleetProcess> process { new FleetProcess { settings, api, epoch, loop } };
-    if (const auto error = process->start(api.http))
+    if (const auto error = process->start(api))
         return *error;
     return process;
 }
@@ -68,7 +70,7 @@
 
 FleetProcess::~FleetProcess() = default;
 
-std::optional<FleetError> FleetProcess::start(const HttpApi& api)
+std::optional<FleetError> FleetProcess::start(const FleetApi& api)
 {
     auto folder = PosixFolder::create(this->settings.folder);
     if (!folder)
@@ -95,8 +97,9 @@
         return FleetError::FeedAddress;
     this->link = std::move(opened.value());
 
-    auto listener
-        = HttpListener::create(*this->loop, { .address = this->settings.http }, api(*this, this->settings.http.port));
+    auto listener = HttpListener::create(*this->loop,
+        { .address = this->settings.http, .bodyLimit = api.bodyLimit, .bufferedBytes = callBytes },
+        api.http(*this, this->settings.http.port));
     if (!listener)
         return FleetError::HttpAddress;
     this->http = std::move(listener.value());
--- a/src/zinnia/runtime/fleet_process.hpp
+++ b/src/zinnia/runtime/fleet_process.hpp
@@ -57,6 +57,8 @@
     HttpApi http;
     /** Reads properties of routes that are not part of the log format; only used if load is shared. */
     RouteDocumentReader readDocument;
+    /** Maximum size of the body that belongs to a head. Unit: bytes. */
+    std::size_t (*bodyLimit)(const HttpRequest& head) = nullptr;
 };
 
 /**
@@ -97,7 +99,7 @@
 
     FleetProcess(const FleetSettings& settings, const FleetApi& api, Epoch epoch, EventLoop& loop);
 
-    [[nodiscard]] std::optional<FleetError> start(const HttpApi& api);
+    [[nodiscard]] std::optional<FleetError> start(const FleetApi& api);
     /** @return `Storage` if a file could not be read or written, which may succeed later; otherwise `Replica`. */
     [[nodiscard]] std::optional<FleetError> startReplica();
     /**
--- a/src/zinnia/runtime/http2_connection.cpp
+++ b/src/zinnia/runtime/http2_connection.cpp
@@ -19,7 +19,9 @@
     constexpr std::size_t maxOutputBytes = 1U << 15U;
     constexpr std::uint32_t streamWindowBytes = 1U << 20U;
     constexpr std::int32_t connectionWindowBytes = 1 << 24;
-    constexpr std::uint32_t maxConcurrentStreams = 256;
+    /** A peer that opens streams and completes none must not hold much memory. Clients assume 100 before they know. */
+    constexpr std::uint32_t maxConcurrentStreams = 100;
+    constexpr std::uint32_t maxHeaderListBytes = 4096;
 
     nghttp2_nv header(std::string_view name, std::string_view value)
     {
@@ -32,11 +34,12 @@
 
 } // namespace
 
-Http2Connection::Http2Connection(Poller& poller, int fd, Side side, Callbacks callbacks)
+Http2Connection::Http2Connection(Poller& poller, int fd, Side side, Callbacks callbacks, ByteBudget* budget)
     : poller { &poller }
     , fd { fd }
     , side { side }
     , callbacks { std::move(callbacks) }
+    , budget { budget }
 {
     nghttp2_session_callbacks* table = nullptr;
     nghttp2_session_callbacks_new(&table);
@@ -52,6 +55,7 @@
     const std::array settings {
         nghttp2_settings_entry { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, maxConcurrentStreams },
         nghttp2_settings_entry { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, streamWindowBytes },
+        nghttp2_settings_entry { NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE, maxHeaderListBytes },
     };
     nghttp2_submit_settings(this->session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
     nghttp2_session_set_local_window_size(this->session, NGHTTP2_FLAG_NONE, 0, connectionWindowBytes);
@@ -195,10 +199,19 @@
 int Http2Connection::onData(
     nghttp2_session* session, std::uint8_t, std::int32_t stream, const std::uint8_t* data, std::size_t size, void* user)
 {
-    Bytes& received = connectionOf(user).streams[stream].received;
-    if (received.size() + size > maxStreamBodyBytes)
+    auto& connection = connectionOf(user);
+    Stream& state = connection.streams[stream];
+    if (state.refused)
+        return 0;
+    const bool fits = state.received.size() + size <= maxStreamBodyBytes
+        && (connection.budget == nullptr || state.share.grow(*connection.budget, size));
+    if (!fits) {
+        state.refused = true;
+        state.share.release();
+        Bytes {}.swap(state.received);
         return nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_ENHANCE_YOUR_CALM);
-    received.insert(received.end(), data, data + size);
+    }
+    state.received.insert(state.received.end(), data, data + size);
     return 0;
 }
 
@@ -209,9 +222,10 @@
         return 0;
     auto& connection = connectionOf(user);
     const auto found = connection.streams.find(frame->hd.stream_id);
-    if (found == connection.streams.end() || found->second.complete)
+    if (found == connection.streams.end() || found->second.complete || found->second.refused)
         return 0;
     found->second.complete = true;
+    found->second.share.release();
     connection.callbacks.onBody(frame->hd.stream_id, found->second.accepted, std::exchange(found->second.received, {}));
     return 0;
 }
--- a/src/zinnia/runtime/http2_connection.hpp
+++ b/src/zinnia/runtime/http2_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "zinnia/core/byte_budget.hpp"
 #include "zinnia/core/bytes.hpp"
 #include "zinnia/runtime/poller.hpp"
 
@@ -26,7 +27,8 @@
 
     enum class Side : unsigned char { Server, Client };
 
-    Http2Connection(Poller& poller, int fd, Side side, Callbacks callbacks);
+    /** @param budget Bounds the bodies that are being received, with those of other connections; may be null. */
+    Http2Connection(Poller& poller, int fd, Side side, Callbacks callbacks, ByteBudget* budget = nullptr);
     ~Http2Connection();
     Http2Connection(const Http2Connection&) = delete;
     Http2Connection& operator=(const Http2Connection&) = delete;
@@ -41,10 +43,13 @@
 private:
     struct Stream {
         Bytes received;
+        ByteBudget::Share share;
         Bytes sent;
         std::size_t offset {};
         bool accepted {};
         bool complete {};
+        /** Whether its body has exceeded a limit; what still arrives of it is dropped. */
+        bool refused {};
     };
 
     void onReady(Readiness ready);
@@ -66,6 +71,7 @@
     int fd;
     Side side;
     Callbacks callbacks;
+    ByteBudget* budget;
     nghttp2_session* session {};
     std::unordered_map<std::int32_t, Stream> streams;
     Bytes output;
--- a/src/zinnia/runtime/http_listener.cpp
+++ b/src/zinnia/runtime/http_listener.cpp
@@ -3,9 +3,6 @@
 #include "zinnia/runtime/logger.hpp"
 #include "zinnia/runtime/socket_address.hpp"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
-#include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <algorithm>
 #include <array>
@@ -39,35 +36,26 @@
         return stream.str() + response.body;
     }
 
-    /** @brief A parsed request head, or the status with which it is refused. */
-    struct Head {
-        int status = http_status::ok;
-        HttpRequest request;
-        std::size_t bodyBytes {};
-        bool keepAlive {};
-    };
+    /** Bodies and answers up to this size are not counted in the budget. Unit: bytes. */
+    constexpr std::size_t smallBytes = 16U << 10U;
+    /** Limits for what still arrives after a refusal. */
+    constexpr std::size_t maxDiscardedBytes = 8U << 20U;
+    constexpr Milliseconds discardTime { 2000 };
+    constexpr std::size_t maxRefused = 64;
 
-    Head parseHead(std::string_view text)
+    std::string_view reasonOf(int status)
     {
-        Head head;
-        try {
-            Poco::MemoryInputStream stream { text.data(), static_cast<std::streamsize>(text.size()) };
-            net::HTTPRequest parsed;
-            parsed.read(stream);
-            const auto method = valueIn(httpMethodNames, parsed.getMethod());
-            if (!method)
-                head.status = http_status::methodNotAllowed;
-            else if (parsed.getChunkedTransferEncoding())
-                head.status = http_status::lengthRequired;
-            head.request
-                = HttpRequest { method.value_or(HttpMethod {}), parsed.getURI(), parsed.get("Authorization", ""), "" };
-            head.bodyBytes
-                = parsed.hasContentLength() ? static_cast<std::size_t>(parsed.getContentLength64()) : std::size_t { 0 };
-            head.keepAlive = parsed.getKeepAlive();
-        } catch (const Poco::Exception&) {
-            head.status = http_status::badRequest;
-        }
-        return head;
+        static constexpr std::array<std::pair<int, std::string_view>, 6> reasons { {
+            { http_status::methodNotAllowed, "method not allowed" },
+            { http_status::lengthRequired, "the length of the body is missing" },
+            { http_status::contentTooLarge, "the body exceeds the limit of its kind" },
+            { http_status::pathTooLong, "the path is too long" },
+            { http_status::headerTooLarge, "the request head is too large" },
+            { http_status::serviceUnavailable, "too many bytes of other requests are in progress" },
+        } };
+        const auto* found
+            = std::find_if(reasons.begin(), reasons.end(), [status](const auto& item) { return item.first == status; });
+        return found != reasons.end() ? found->second : "the request head can't be read";
     }
 
 } // namespace
@@ -78,14 +66,31 @@
     /** Bytes of `input` that belong to handled requests; removed once for all requests that have arrived together. */
     std::size_t handledBytes {};
     std::string output;
-    std::optional<Head> head;
+    std::size_t sentBytes {};
+    std::optional<HttpHead> head;
+    ByteBudget::Share body;
+    ByteBudget::Share answer;
     TimePoint lastUse;
     bool awaitingResponse {};
     /** Whether its requests are being handled further up the call stack. */
     bool processing {};
     bool closing {};
-    /** Whether the loop watches the socket for writability. */
+    /** Whether a part of a refused request may still arrive. */
+    bool refused {};
+    /** What the loop watches the socket for. */
+    bool watchesReadable = true;
     bool watchesWritable {};
+
+    [[nodiscard]] std::size_t unhandledBytes() const { return this->input.size() - this->handledBytes; }
+    [[nodiscard]] bool hasOutput() const { return this->sentBytes < this->output.size(); }
+    /** @return The number of bytes that may be stored now. */
+    [[nodiscard]] std::size_t wantedBytes(const HttpHeadLimits& limits) const
+    {
+        if (this->closing && !this->head)
+            return 0;
+        const std::size_t limit = this->head ? this->head->bodyBytes : limits.bytes + httpHeadEnd.size();
+        return limit - std::min(limit, this->unhandledBytes());
+    }
 };
 
 Result<std::unique_ptr<HttpListener>, SocketError> HttpListener::create(
@@ -113,6 +118,7 @@
     , handler { std::move(handler) }
     , descriptor { descriptor }
     , bound { settings.address }
+    , budget { settings.bufferedBytes }
     , self { std::make_shared<HttpListener*>(this) }
 {
     sockaddr_in address {};
@@ -131,6 +137,8 @@
     ::close(this->descriptor);
     while (!this->connections.empty())
         this->close(this->connections.begin()->first);
+    while (!this->refused.empty())
+        this->closeRefused(this->refused.begin()->first);
 }
 
 void HttpListener::accept()
@@ -170,17 +178,31 @@
     if (found == this->connections.end())
         return;
     Connection& connection = *found->second;
-    std::array<char, 16384> buffer {};
-    const std::size_t limit = this->settings.headerBytes + this->settings.bodyBytes;
-    while (connection.input.size() <= limit) {
-        const ssize_t size = recv(connection.descriptor, buffer.data(), buffer.size(), 0);
+    std::array<char, 16384> buffer; // NOLINT: filled by recv
+    while (const std::size_t wanted = connection.wantedBytes(this->settings.head)) {
+        const ssize_t size = recv(connection.descriptor, buffer.data(), std::min(wanted, buffer.size()), 0);
         if (size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR))
             return this->close(number);
         if (size < 0)
             break;
         connection.input.append(buffer.data(), static_cast<std::size_t>(size));
+        this->processRequests(number);
+        if (!this->connections.contains(number))
+            return;
     }
-    this->processRequests(number);
+    this->updateInterest(number, connection);
+}
+
+void HttpListener::updateInterest(std::uint64_t number, Connection& connection)
+{
+    const bool readable = connection.wantedBytes(this->settings.head) > 0;
+    const bool writable = connection.hasOutput();
+    if (readable == connection.watchesReadable && writable == connection.watchesWritable)
+        return;
+    connection.watchesReadable = readable;
+    connection.watchesWritable = writable;
+    this->poller->watch(connection.descriptor, readable, writable,
+        [this, number](Readiness readiness) { this->onReady(number, readiness); });
 }
 
 void HttpListener::processRequests(std::uint64_t number)
@@ -206,39 +228,24 @@
     Connection& connection = *found->second;
     if (connection.awaitingResponse || connection.closing)
         return false;
-    if (!connection.head) {
-        const std::string_view pending = std::string_view { connection.input }.substr(connection.handledBytes);
-        const auto end = pending.find(headerEnd);
-        const bool tooLarge = (end == std::string::npos ? pending.size() : end) > this->settings.headerBytes;
-        if (end == std::string::npos && !tooLarge)
-            return false;
-        Head head;
-        if (tooLarge)
-            head.status = http_status::headerTooLarge;
-        else
-            head = parseHead(pending.substr(0, end + headerEnd.size()));
-        if (head.bodyBytes > this->settings.bodyBytes)
-            head.status = http_status::contentTooLarge;
-        if (head.status != http_status::ok) {
-            log(Event::HttpRequestRefused, Field { "status", head.status }, Field { "path", head.request.path });
-            // Bytes after a refused head cannot be distinguished from a new request.
-            connection.closing = true;
-            connection.awaitingResponse = true;
-            this->respond(number, HttpResponse::text(head.status, "refused\n"));
-            return false;
-        }
-        connection.handledBytes += end + headerEnd.size();
-        connection.head = std::move(head);
-    }
-    if (connection.input.size() - connection.handledBytes < connection.head->bodyBytes)
+    if (!connection.head && !this->readHead(number, connection))
+        return false;
+    const std::size_t bodyBytes = connection.head->bodyBytes;
+    if (connection.unhandledBytes() < bodyBytes)
         return false;
     HttpRequest request = std::move(connection.head->request);
-    request.body = connection.input.substr(connection.handledBytes, connection.head->bodyBytes);
-    connection.handledBytes += connection.head->bodyBytes;
+    request.body = connection.input.substr(connection.handledBytes, bodyBytes);
+    connection.handledBytes += bodyBytes;
+    if (connection.handledBytes == connection.input.size()) {
+        connection.handledBytes = 0;
+        std::string {}.swap(connection.input);
+    }
     connection.closing = !connection.head->keepAlive;
     connection.head.reset();
     connection.awaitingResponse = true;
     connection.lastUse = this->poller->now();
+    // The handler bounds what it keeps of the body.
+    connection.body.release();
     this->handler(std::move(request), [owner = this->self, number](const HttpResponse& response) {
         if (*owner != nullptr)
             (*owner)->respond(number, response);
@@ -246,6 +253,46 @@
     return true;
 }
 
+bool HttpListener::readHead(std::uint64_t number, Connection& connection)
+{
+    const std::string_view pending = std::string_view { connection.input }.substr(connection.handledBytes);
+    const auto end = pending.find(httpHeadEnd);
+    const std::size_t limit = this->settings.head.bytes;
+    if (end == std::string_view::npos && pending.size() <= limit)
+        return false;
+    HttpHead head;
+    if (std::min(end, pending.size()) > limit)
+        head.status = http_status::headerTooLarge;
+    else
+        head = parseHttpHead(pending.substr(0, end + httpHeadEnd.size()), this->settings.head);
+    if (head.status == http_status::ok)
+        head.status = this->admit(head, connection);
+    if (head.status != http_status::ok) {
+        log(Event::HttpRequestRefused, Field { "status", head.status }, Field { "path", head.request.path },
+            Field { "body_bytes", head.bodyBytes });
+        // Bytes after a refused head cannot be distinguished from a new request.
+        connection.closing = true;
+        connection.refused = true;
+        connection.awaitingResponse = true;
+        this->respond(number, HttpResponse::text(head.status, std::string { reasonOf(head.status) } + "\n"));
+        return false;
+    }
+    connection.handledBytes += end + httpHeadEnd.size();
+    connection.head = std::move(head);
+    return true;
+}
+
+int HttpListener::admit(const HttpHead& head, Connection& connection)
+{
+    const std::size_t limit
+        = this->settings.bodyLimit ? this->settings.bodyLimit(head.request) : this->settings.bodyBytes;
+    if (head.bodyBytes > limit)
+        return http_status::contentTooLarge;
+    if (head.bodyBytes > smallBytes && !connection.body.grow(this->budget, head.bodyBytes))
+        return http_status::serviceUnavailable;
+    return http_status::ok;
+}
+
 void HttpListener::respond(std::uint64_t number, const HttpResponse& response)
 {
     const auto found = this->connections.find(number);
@@ -254,7 +301,14 @@
     Connection& connection = *found->second;
     connection.awaitingResponse = false;
     connection.lastUse = this->poller->now();
-    connection.output += textOf(response, !connection.closing);
+    // A client that doesn't read must not hold more than its part of the memory.
+    if (response.body.size() > smallBytes && !connection.answer.grow(this->budget, response.body.size())) {
+        const int status = http_status::serviceUnavailable;
+        connection.output
+            += textOf(HttpResponse::text(status, std::string { reasonOf(status) } + "\n"), !connection.closing);
+    } else {
+        connection.output += textOf(response, !connection.closing);
+    }
     this->flush(number);
     this->processRequests(number);
 }
@@ -265,23 +319,61 @@
     if (found == this->connections.end())
         return;
     Connection& connection = *found->second;
-    while (!connection.output.empty()) {
-        const ssize_t size
-            = send(connection.descriptor, connection.output.data(), connection.output.size(), MSG_NOSIGNAL);
+    while (connection.hasOutput()) {
+        const ssize_t size = send(connection.descriptor, connection.output.data() + connection.sentBytes,
+            connection.output.size() - connection.sentBytes, MSG_NOSIGNAL);
         if (size < 0 && errno != EAGAIN && errno != EINTR)
             return this->close(number);
         if (size < 0)
             break;
-        connection.output.erase(0, static_cast<std::size_t>(size));
+        connection.sentBytes += static_cast<std::size_t>(size);
+    }
+    if (!connection.hasOutput()) {
+        connection.sentBytes = 0;
+        std::string {}.swap(connection.output);
+        connection.answer.release();
+        if (connection.closing && !connection.awaitingResponse)
+            return connection.refused ? this->discardRest(number) : this->close(number);
+    }
+    this->updateInterest(number, connection);
+}
+
+void HttpListener::discardRest(std::uint64_t number)
+{
+    auto connection = this->connections.extract(number);
+    const int socket = connection.mapped()->descriptor;
+    shutdown(socket, SHUT_WR);
+    if (this->refused.size() >= maxRefused)
+        this->closeRefused(this->refused.begin()->first);
+    this->refused.emplace(number, Refused { socket, maxDiscardedBytes, this->poller->now() + discardTime });
+    this->poller->watch(socket, true, false, [this, number](Readiness) { this->dropBytes(number); });
+}
+
+void HttpListener::dropBytes(std::uint64_t number)
+{
+    const auto found = this->refused.find(number);
+    if (found == this->refused.end())
+        return;
+    std::array<char, 16384> buffer; // NOLINT: filled by recv
+    while (found->second.remainingBytes > 0) {
+        const ssize_t size = recv(found->second.descriptor, buffer.data(), buffer.size(), 0);
+        if (size < 0 && (errno == EAGAIN || errno == EINTR))
+            return;
+        if (size <= 0)
+            break;
+        found->second.remainingBytes -= std::min(found->second.remainingBytes, static_cast<std::size_t>(size));
     }
-    if (connection.output.empty() && connection.closing && !connection.awaitingResponse)
-        return this->close(number);
-    const bool pending = !connection.output.empty();
-    if (pending == connection.watchesWritable)
+    this->closeRefused(number);
+}
+
+void HttpListener::closeRefused(std::uint64_t number)
+{
+    const auto found = this->refused.find(number);
+    if (found == this->refused.end())
         return;
-    connection.watchesWritable = pending;
-    this->poller->watch(connection.descriptor, true, pending,
-        [this, number](Readiness readiness) { this->onReady(number, readiness); });
+    this->poller->unwatch(found->second.descriptor);
+    ::close(found->second.descriptor);
+    this->refused.erase(found);
 }
 
 void HttpListener::close(std::uint64_t number)
@@ -305,6 +397,8 @@
     }
     for (const std::uint64_t number : idle)
         this->close(number);
+    while (!this->refused.empty() && this->refused.begin()->second.deadline <= now)
+        this->closeRefused(this->refused.begin()->first);
 }
 
 } // namespace zinnia::runtime
--- a/src/zinnia/runtime/http_message.hpp
+++ b/src/zinnia/runtime/http_message.hpp
@@ -28,6 +28,7 @@
     inline constexpr int conflict = 409;
     inline constexpr int lengthRequired = 411;
     inline constexpr int contentTooLarge = 413;
+    inline constexpr int pathTooLong = 414;
     inline constexpr int headerTooLarge = 431;
     inline constexpr int internalError = 500;
     inline constexpr int serviceUnavailable = 503;
--- a/src/zinnia/runtime/http_server.hpp
+++ b/src/zinnia/runtime/http_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "zinnia/core/endpoint.hpp"
+#include "zinnia/core/input_limits.hpp"
 #include "zinnia/core/result.hpp"
 #include "zinnia/core/time.hpp"
 #include "zinnia/runtime/http_message.hpp"
@@ -19,7 +20,7 @@
     /** Connections that wait for a thread; more are closed. */
     unsigned queuedConnections = 64;
     /** Maximum size of an accepted body. Unit: bytes. */
-    std::size_t bodyBytes = std::size_t { 1 } << 20U;
+    std::size_t bodyBytes = limitsOf(InputKind::Command).bytes;
     /** Timeout of one read from or write to the socket. */
     Milliseconds socketTimeout { 5000 };
     /** Timeout for receiving the complete body of a request. */
--- a/src/zinnia/runtime/json_archive.hpp
+++ b/src/zinnia/runtime/json_archive.hpp
@@ -2,6 +2,8 @@
 
 #include "zinnia/config/command.hpp"
 #include "zinnia/core/endpoint.hpp"
+#include "zinnia/core/input_limits.hpp"
+#include "zinnia/core/json_cost.hpp"
 #include "zinnia/core/result.hpp"
 #include "zinnia/runtime/settings_error.hpp"
 
@@ -232,9 +234,14 @@
 /** @return The struct in a JSON text, or every error. @param source Name of the text for error messages. */
 template <class T> [[nodiscard]] Result<T, SettingsErrors> parseJson(std::string_view text, const std::string& source)
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const JsonCost cost = jsonCostOf(text);
+    const InputLimits& limits = limitsOf(InputKind::Command);
+    const bool isAffordable = cost.depth <= limits.depth && cost.values <= limits.values;
+    const auto json = isAffordable ? nlohmann::json::parse(text, nullptr, false) : nlohmann::json {};
     JsonReader reader { source };
-    if (json.is_discarded())
+    if (!isAffordable)
+        reader.fail(SettingsFault::Syntax, "", "", "JSON with fewer values");
+    else if (json.is_discarded())
         reader.fail(SettingsFault::Syntax, "", "", "JSON");
     T value {};
     if (reader.errors().empty())
--- a/src/zinnia/runtime/stream_server.cpp
+++ b/src/zinnia/runtime/stream_server.cpp
@@ -4,6 +4,7 @@
 #include "zinnia/runtime/logger.hpp"
 #include "zinnia/runtime/socket_address.hpp"
 
+#include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -14,8 +15,10 @@
 namespace {
 
     constexpr int backlog = 128;
-    /** Connections above this are closed at once; peers are at most some hundred processes. */
-    constexpr std::size_t maxConnections = 1024;
+    /** A further connection takes the place of the one that is idle for longest; peers are at most some hundred. */
+    constexpr std::size_t maxConnections = 512;
+    /** Bodies that are being received; enough for the largest one, a snapshot, beside others. Unit: bytes. */
+    constexpr std::size_t receivedBytes = 2 * maxStreamBodyBytes;
 
 } // namespace
 
@@ -47,6 +50,7 @@
     , fd { fd }
     , bound { bound }
     , handler { std::move(handler) }
+    , budget { receivedBytes }
 {
 }
 
@@ -61,10 +65,8 @@
     const int peer = accept4(this->fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (peer < 0)
         return;
-    if (this->connections.size() >= maxConnections) {
-        close(peer);
-        return;
-    }
+    if (this->connections.size() >= maxConnections)
+        this->closeLongestIdle();
     const int enabled = 1;
     setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
     const std::uint64_t number = this->nextConnection++;
@@ -73,12 +75,22 @@
         if (!accepted)
             log(Event::MessageRefused, Field { "reason", RefusalReason::Malformed }, Field { "bytes", body.size() });
         auto answer = accepted ? this->handler(body) : std::nullopt;
-        this->connections.at(number)->answer(stream, std::move(answer));
+        Connection& connection = this->connections.at(number);
+        connection.lastUse = this->poller->now();
+        connection.http->answer(stream, std::move(answer));
     };
     callbacks.onReset = [](std::int32_t) {};
     callbacks.onClosed = [this, number] { this->connections.erase(number); };
-    this->connections[number]
-        = std::make_unique<Http2Connection>(*this->poller, peer, Http2Connection::Side::Server, std::move(callbacks));
+    this->connections[number] = { std::make_unique<Http2Connection>(*this->poller, peer, Http2Connection::Side::Server,
+                                      std::move(callbacks), &this->budget),
+        this->poller->now() };
+}
+
+void StreamServer::closeLongestIdle()
+{
+    const auto longestIdle = std::min_element(this->connections.begin(), this->connections.end(),
+        [](const auto& a, const auto& b) { return a.second.lastUse < b.second.lastUse; });
+    this->connections.erase(longestIdle);
 }
 
 } // namespace zinnia::runtime
--- a/src/zinnia/runtime/stream_server.hpp
+++ b/src/zinnia/runtime/stream_server.hpp
@@ -36,8 +36,18 @@
     int fd;
     Endpoint bound;
     Handler handler;
+    /** @brief Closes the connection that has had no complete body for longest. */
+    void closeLongestIdle();
+
+    struct Connection {
+        std::unique_ptr<Http2Connection> http;
+        TimePoint lastUse;
+    };
+
+    /** Bounds what peers can make this process hold before their messages are authenticated. */
+    ByteBudget budget;
     std::uint64_t nextConnection = 1;
-    std::map<std::uint64_t, std::unique_ptr<Http2Connection>> connections;
+    std::map<std::uint64_t, Connection> connections;
 };
 
 } // namespace zinnia::runtime
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/call_codec.hpp"
 #include "platform/calls.hpp"
 #include "platform/packet_codec.hpp"
+#include "zinnia/core/input_limits.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -298,6 +299,54 @@
         EXPECT_EQ(longStart.value().table.services[0].coldStart, Milliseconds { 24LL * 3600 * 1000 });
     }
 
+    /** @return The problem of a heartbeat body, empty if it can be read. */
+    std::string problemOf(const std::string& body)
+    {
+        const auto read = readAnnouncement("i-1", body);
+        return read ? std::string {} : read.error().problem;
+    }
+
+    // Guards against a body, readable or not, that costs many times its size when it is parsed (review/12).
+    TEST(CallCodec, RefusesCostlyBodiesBeforeTheyAreParsed)
+    {
+        EXPECT_NE(problemOf(std::string(4'000'000, '[')).find("bytes"), std::string::npos);
+        EXPECT_NE(problemOf(std::string(1000, '[')).find("nested"), std::string::npos);
+        std::string many = sampleAnnouncement;
+        many.insert(1, "\"other\":[");
+        for (int i = 0; i < 300; ++i)
+            many.insert(10, "{},");
+        many.insert(10 + 900, "{}],");
+        EXPECT_NE(problemOf(many).find("values"), std::string::npos);
+        const std::string nested = std::string(200'000, '[') + std::string(200'000, ']');
+        EXPECT_NE(readRoutes(nested).error().problem.find("nested"), std::string::npos);
+        std::string values = sampleRoutes;
+        std::string list = "\"other\":[0";
+        for (int i = 0; i < 500'000; ++i)
+            list += ",0";
+        values.insert(1, list + "],");
+        EXPECT_NE(readRoutes(values).error().problem.find("values"), std::string::npos);
+    }
+
+    // Guards against valid content that is taken for deep or large: brackets and separators inside strings.
+    TEST(CallCodec, CountsNothingInsideStrings)
+    {
+        std::string body = sampleAnnouncement;
+        body.insert(1, "\"other\":\"" + std::string(2000, '[') + std::string(2000, ',') + "\\\"[\",");
+        EXPECT_EQ(problemOf(body), "");
+    }
+
+    // Guards against a limit that does not fit the call: a heartbeat of the size of a configuration.
+    TEST(ControlCalls, EachKindOfCallHasItsOwnBodyLimit)
+    {
+        const auto limitOf = [](HttpMethod method, const char* path) {
+            return callBodyLimit({ method, path, "", "" });
+        };
+        EXPECT_EQ(limitOf(HttpMethod::Put, "/zinniamount/instances/i-1"), limitsOf(InputKind::Heartbeat).bytes);
+        EXPECT_EQ(limitOf(HttpMethod::Put, "/zinniamount/config"), limitsOf(InputKind::Configuration).bytes);
+        EXPECT_EQ(limitOf(HttpMethod::Post, "/zinniamount/evacuate/b"), limitsOf(InputKind::Order).bytes);
+        EXPECT_EQ(limitOf(HttpMethod::Put, "/other"), limitsOf(InputKind::Order).bytes);
+    }
+
     // Guards against requests that are dispatched to the wrong function.
     TEST(ControlCalls, TranslatesEachCall)
     {
--- a/test/zinnia/consensus/large_entries_test.cpp
+++ b/test/zinnia/consensus/large_entries_test.cpp
@@ -132,5 +132,23 @@
         }
     }
 
+    // Guards against changes that each are within their limit and exceed the memory of the process together.
+    TEST(LargeEntries, PendingProposalsAreBoundedInSum)
+    {
+        Cluster cluster { 3, 1, {}, [](Settings& settings) { settings.maxPendingBytes = 100'000; } };
+        ASSERT_TRUE(cluster.form());
+        cluster.commandBytes = 40'000;
+        const std::uint32_t leader = cluster.leader();
+        std::vector<std::uint64_t> numbers;
+        for (int i = 0; i < 3; ++i)
+            numbers.push_back(cluster.propose(leader));
+        ASSERT_TRUE(cluster.results.contains(numbers[2]));
+        EXPECT_EQ(std::get<Refused>(cluster.results.at(numbers[2])).cause, RefusalCause::Overloaded);
+        cluster.runFor(Milliseconds { 500 });
+        for (int i = 0; i < 2; ++i)
+            EXPECT_TRUE(std::holds_alternative<Committed>(cluster.results.at(numbers[static_cast<std::size_t>(i)])));
+        EXPECT_TRUE(cluster.commitOne());
+    }
+
 } // namespace
 } // namespace zinnia::consensus::test
--- a/test/zinnia/runtime/fleet_process_test.cpp
+++ b/test/zinnia/runtime/fleet_process_test.cpp
@@ -43,7 +43,8 @@
             const HttpApi api = [](FleetService&, std::uint16_t) -> HttpRequestHandler {
                 return [](const HttpRequest&, const HttpResponder&) {};
             };
-            auto created = FleetProcess::create(this->settings, { api, this->reader }, Epoch { 1 }, *this->loop);
+            auto created
+                = FleetProcess::create(this->settings, { api, this->reader, nullptr }, Epoch { 1 }, *this->loop);
             ASSERT_TRUE(created);
             this->process = std::move(created.value());
         }
--- a/test/zinnia/runtime/http_listener_test.cpp
+++ b/test/zinnia/runtime/http_listener_test.cpp
@@ -93,7 +93,7 @@
     // Guards against unbounded memory use by requests of any client.
     TEST_F(HttpListenerTest, refusesTooLargeHeadersAndBodies)
     {
-        this->start({ .address = {}, .headerBytes = 256, .bodyBytes = 100 });
+        this->start({ .address = {}, .head = { .bytes = 256 }, .bodyBytes = 100 });
         const int first = this->connectClient();
         write(first, "PUT /one HTTP/1.1\r\nContent-Length: 101\r\n\r\n");
         const int second = this->connectClient();
@@ -110,6 +110,88 @@
             close(fd);
     }
 
+    // Guards against heads that are within their size and cost more than it: paths, which are stored and logged, and
+    // fields.
+    TEST_F(HttpListenerTest, RefusesLongPathsAndManyFields)
+    {
+        this->start();
+        const int first = this->connectClient();
+        write(first, "GET /" + std::string(2000, 'x') + " HTTP/1.1\r\n\r\n");
+        std::string fields;
+        for (int i = 0; i < 100; ++i)
+            fields += "A: b\r\n";
+        const int second = this->connectClient();
+        write(second, "GET /two HTTP/1.1\r\n" + fields + "\r\n");
+        this->runTurns(10);
+        EXPECT_NE(readSome(first).find(" 414 "), std::string::npos);
+        EXPECT_NE(readSome(second).find(" 431 "), std::string::npos);
+        EXPECT_TRUE(this->requests.empty());
+        close(first);
+        close(second);
+    }
+
+    // Guards against several bodies within their limits that exceed the memory of the process together (review/12), and
+    // against a budget that a closed connection keeps.
+    TEST_F(HttpListenerTest, BodiesOfAllConnectionsShareABudget)
+    {
+        this->start({ .address = {}, .bodyBytes = 100'000, .bufferedBytes = 200'000 });
+        const std::string head = "PUT /one HTTP/1.1\r\nContent-Length: 90000\r\n\r\n";
+        std::array<int, 3> clients {};
+        for (int& client : clients) {
+            client = this->connectClient();
+            write(client, head + "part");
+            this->runTurns();
+        }
+        EXPECT_NE(readSome(clients[2]).find(" 503 "), std::string::npos);
+        EXPECT_EQ(this->listener->connectionCount(), 2U);
+        close(clients[0]);
+        this->runTurns();
+        const int next = this->connectClient();
+        write(next, head + std::string(90000, 'x'));
+        this->runTurns(20);
+        ASSERT_EQ(this->requests.size(), 1U);
+        EXPECT_EQ(this->requests[0].body.size(), 90000U);
+        for (const int fd : { clients[1], clients[2], next })
+            close(fd);
+    }
+
+    // Guards against answers that clients request and do not read, without any bound.
+    TEST_F(HttpListenerTest, UnreadAnswersShareTheBudget)
+    {
+        this->start({ .address = {}, .bufferedBytes = 12U << 20U });
+        std::array<int, 3> clients {};
+        for (int& client : clients) {
+            client = this->connectClient();
+            write(client, "GET /one HTTP/1.1\r\n\r\n");
+            this->runTurns();
+            this->responders.back()(HttpResponse::text(200, std::string(5U << 20U, 'x')));
+            this->runTurns();
+        }
+        EXPECT_NE(readSome(clients[0]).find(" 200 "), std::string::npos);
+        EXPECT_NE(readSome(clients[2]).find(" 503 "), std::string::npos);
+        for (const int fd : clients)
+            close(fd);
+    }
+
+    // Guards against a reset that overtakes the reason of a refusal while the client still sends its body.
+    TEST_F(HttpListenerTest, TheReasonReachesAClientThatStillSends)
+    {
+        this->start({ .address = {}, .bodyBytes = 100 });
+        const int fd = this->connectClient();
+        write(fd, "PUT /one HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n");
+        this->runTurns();
+        std::size_t sent = 0;
+        const std::string chunk(10'000, 'x');
+        while (sent < 1'000'000) {
+            ASSERT_EQ(send(fd, chunk.data(), chunk.size(), MSG_NOSIGNAL), static_cast<ssize_t>(chunk.size()));
+            sent += chunk.size();
+            this->runTurns(1);
+        }
+        EXPECT_NE(readSome(fd).find("the body exceeds the limit"), std::string::npos);
+        EXPECT_EQ(this->listener->connectionCount(), 0U);
+        close(fd);
+    }
+
     // Guards against an answer on a connection that the client has closed, or after the listener was destroyed.
     TEST_F(HttpListenerTest, ignoresLateAnswers)
     {
--- a/test/zinnia/runtime/stream_test.cpp
+++ b/test/zinnia/runtime/stream_test.cpp
@@ -214,6 +214,31 @@
         close(unresponsive);
     }
 
+    // Guards against peers that hold the memory of the process with bodies that they do not complete, and against
+    // their connections, which keep others from connecting.
+    TEST_F(Stream, UnfinishedBodiesOfAllConnectionsShareABudget)
+    {
+        ByteBudget budget { 1U << 20U };
+        std::array<int, 2> pair {};
+        ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair.data()), 0);
+        std::size_t received = 0;
+        std::size_t reset = 0;
+        Http2Connection server { *this->loop, pair[0], Http2Connection::Side::Server,
+            { [&](std::int32_t, bool, const Bytes& body) { received += body.size(); }, [](std::int32_t) {}, [] {} },
+            &budget };
+        Http2Connection client { *this->loop, pair[1], Http2Connection::Side::Client,
+            { [](std::int32_t, bool, const Bytes&) {}, [&](std::int32_t) { ++reset; }, [] {} } };
+        Bytes tooLarge(2U << 20U, 7);
+        ASSERT_TRUE(client.post(tooLarge));
+        ASSERT_TRUE(this->runUntil([&] { return reset == 1; }));
+        EXPECT_EQ(received, 0U);
+        EXPECT_EQ(budget.usedBytes(), 0U);
+        Bytes small(1U << 19U, 7);
+        ASSERT_TRUE(client.post(small));
+        ASSERT_TRUE(this->runUntil([&] { return received == 1U << 19U; }));
+        EXPECT_EQ(budget.usedBytes(), 0U);
+    }
+
     // Guards against an answer for a body that the handler refused.
     TEST_F(Stream, ReportsARefusedBody)
     {
