routing: no announcement ends a flow; one place says what does

Cause: an announcement at an address with a later start counted as proof that the upstream there had ended, and turned a successful health check into a failed one. A departure and a heartbeat without version were believed too. Change: liveness.hpp states what may end a flow: a failed check of this router, or silence of the upstream itself together with a claim of a named service. A departure requests a check. Every field of an announcement is checked on arrival.

--- a/src/zinnia/routing/flow_router.cpp
+++ b/src/zinnia/routing/flow_router.cpp
@@ -61,7 +61,9 @@
 
 bool FlowRouter::merge(const std::vector<upstream::AgedAnnouncement>& announcements, TimePoint now)
 {
-    return this->upstreams.merge(announcements, now);
+    const bool changed = this->upstreams.merge(announcements, now);
+    this->checkDeparted(announcements, now);
+    return changed;
 }
 
 RoutingDecision FlowRouter::route(const FlowPacket& packet, TimePoint now)
@@ -159,8 +161,12 @@
         tracked = this->flows.emplace(id, flow).first;
         ++upstream->flows;
     }
-    if (upstream->announcement.state == AnnouncedState::Gone && !packet.rst)
+    const bool hasLeft = upstream->announcement.state == AnnouncedState::Gone;
+    if (hasLeft && upstream->failure.isDead() && !packet.rst)
         return { PacketAction::Reset, RoutingReason::UpstreamGone, upstream };
+    // Its departure may be an error of its sender, or not have been acknowledged.
+    if (hasLeft && !packet.rst)
+        this->requestHealthCheck(*upstream, this->settings.minHealthCheckInterval, now);
     if (tracked == this->flows.end())
         return { PacketAction::Forward, RoutingReason::None, upstream };
     if (upstream->failure.isDead() && packet.dataBytes > 0 && !packet.rst) {
@@ -175,7 +181,9 @@
     RoutingDecision decision { PacketAction::Forward, RoutingReason::None, upstream };
     this->trackPacket(tracked->second, *upstream, packet, decision, now);
     if (this->isStallThresholdReached(tracked->second, *upstream, packet)) {
-        if (this->upstreams.isAddressTaken(*upstream)) {
+        LivenessEvidence evidence = this->evidenceOf(*upstream, now);
+        evidence.isStalled = true;
+        if (assess(evidence) == Liveness::Dead) {
             this->endFlow(tracked->second);
             this->flows.erase(tracked);
             this->markDead(*upstream, now);
--- a/src/zinnia/routing/flow_router.hpp
+++ b/src/zinnia/routing/flow_router.hpp
@@ -4,6 +4,7 @@
 #include "zinnia/routing/admission_controller.hpp"
 #include "zinnia/routing/flow_id.hpp"
 #include "zinnia/routing/flow_packet.hpp"
+#include "zinnia/routing/liveness.hpp"
 #include "zinnia/routing/load_sharing_settings.hpp"
 #include "zinnia/routing/load_view.hpp"
 #include "zinnia/routing/routing_decision.hpp"
@@ -180,9 +181,8 @@
     /**
      * @brief Processes the result of a health check.
      *
-     * A failed one ends the open flows of the upstream; nothing else does while it is announced. A successful
-     * connection ends the unreachable state and has no other effect: a process may accept connections without serving
-     * requests.
+     * A failed one ends the open flows of the upstream (`liveness.hpp`). A successful connection ends the unreachable
+     * state and has no other effect: a process may accept connections without serving requests.
      */
     void finishHealthCheck(RoutingToken token, bool connected, TimePoint now);
     /** @brief Removes and returns the health transitions of upstreams since the last call, for the log. */
@@ -300,6 +300,10 @@
         const Flow& flow, const Upstream& upstream, const FlowPacket& packet) const;
     /** @brief Records that the upstream rejects new flows, if enough callers and retries were left unanswered. */
     void detectRejection(Upstream& upstream, TimePoint now);
+    /** @return What is known about an upstream, apart from checks and callers. */
+    [[nodiscard]] LivenessEvidence evidenceOf(const Upstream& upstream, TimePoint now) const;
+    /** @brief Requests health checks of upstreams that have left, so that their flows end soon if they are gone. */
+    void checkDeparted(const std::vector<upstream::AgedAnnouncement>& announcements, TimePoint now);
     /** @brief Records that the upstream is dead, and ends its flows if it was not known. */
     void markDead(Upstream& upstream, TimePoint now);
     /** @brief Queues resets for the established flows of a dead upstream. */
--- a/src/zinnia/routing/flow_router_checks.cpp
+++ b/src/zinnia/routing/flow_router_checks.cpp
@@ -34,7 +34,7 @@
 {
     // No check is needed: the control instances receive nothing from a silent upstream either, and it is announced
     // again once it sends.
-    if (upstream.announcement.state == AnnouncedState::Gone || upstream.announcement.state == AnnouncedState::Silent)
+    if (upstream.announcement.state == AnnouncedState::Silent)
         return;
     FailureEvidence& failure = upstream.failure;
     if (failure.lastCheckAt && now - *failure.lastCheckAt < interval)
@@ -64,17 +64,41 @@
     // The time is empty if the upstream was restarted or has answered since the check was requested.
     if (upstream == nullptr || !upstream->failure.lastCheckAt)
         return;
-    if (connected && !this->upstreams.isAddressTaken(*upstream)) {
-        // An upstream that takes no flows may still serve its open ones.
-        if (!upstream->failure.isDead())
-            return;
+    LivenessEvidence evidence = this->evidenceOf(*upstream, now);
+    evidence.connected = connected;
+    const Liveness liveness = assess(evidence);
+    if (liveness == Liveness::Dead) {
+        ++upstream->failure.failedChecks;
+        this->unreachable.push_back(upstream->announcement.number);
+        this->markDead(*upstream, now);
+    } else if (liveness == Liveness::Alive && upstream->failure.isDead()) {
+        // One that is alive and takes no flows may still serve its open ones, so no other evidence ends.
         upstream->clearFailures();
         this->healthChanges.push_back({ upstream->announcement.number, SuspicionCause::None, 0, {} });
-        return;
     }
-    ++upstream->failure.failedChecks;
-    this->unreachable.push_back(upstream->announcement.number);
-    this->markDead(*upstream, now);
+}
+
+LivenessEvidence FlowRouter::evidenceOf(const Upstream& upstream, TimePoint now) const
+{
+    const auto isNamed = [this](const std::string& service) {
+        return std::any_of(this->current.services.begin(), this->current.services.end(),
+            [&](const config::ServiceLimits& item) { return item.name == service; });
+    };
+    LivenessEvidence evidence;
+    evidence.isSilent = upstream.announcement.state == AnnouncedState::Silent;
+    evidence.hasLeft = upstream.announcement.state == AnnouncedState::Gone;
+    evidence.isAddressClaimed = this->upstreams.isAddressClaimed(upstream, isNamed, now);
+    return evidence;
+}
+
+void FlowRouter::checkDeparted(const std::vector<upstream::AgedAnnouncement>& announcements, TimePoint now)
+{
+    for (const auto& [announcement, age] : announcements) {
+        Upstream* upstream = this->upstreams.find(tokenOf(announcement.number));
+        const bool hasLeft = upstream != nullptr && upstream->announcement.state == AnnouncedState::Gone;
+        if (hasLeft && upstream->flows > 0 && !upstream->failure.isDead())
+            this->requestHealthCheck(*upstream, this->settings.minHealthCheckInterval, now);
+    }
 }
 
 void FlowRouter::markDead(Upstream& upstream, TimePoint now)
--- a/src/zinnia/routing/upstream_directory.cpp
+++ b/src/zinnia/routing/upstream_directory.cpp
@@ -8,6 +8,8 @@
 
     /** Exceeds the maximum lifetime of a flow: packets of open flows carry the token of a departed upstream. */
     constexpr Seconds retention { 90 };
+    /** Exceeds the time after which control instances report an upstream without announcements as silent. */
+    constexpr Seconds claimTime { 6 };
 
 } // namespace
 
@@ -76,13 +78,17 @@
     return found == this->byService.end() ? empty : found->second;
 }
 
-bool UpstreamDirectory::isAddressTaken(const Upstream& upstream) const
+bool UpstreamDirectory::isAddressClaimed(
+    const Upstream& upstream, const std::function<bool(const std::string&)>& isNamed, TimePoint now) const
 {
     const upstream::Announcement& own = upstream.announcement;
-    return std::any_of(this->upstreams.begin(), this->upstreams.end(), [&own](const auto& item) {
+    const bool announcesItself
+        = own.state == upstream::AnnouncedState::Ready || own.state == upstream::AnnouncedState::Draining;
+    return std::any_of(this->upstreams.begin(), this->upstreams.end(), [&](const auto& item) {
         const upstream::Announcement& other = item.second.announcement;
         return other.address == own.address && other.number != own.number
-            && other.version.startedAt > own.version.startedAt && other.state == upstream::AnnouncedState::Ready;
+            && other.version.startedAt > own.version.startedAt && other.state == upstream::AnnouncedState::Ready
+            && (!announcesItself || now - item.second.announcedAt < claimTime) && isNamed(other.service);
     });
 }
 
--- a/src/zinnia/routing/upstream_directory.hpp
+++ b/src/zinnia/routing/upstream_directory.hpp
@@ -6,6 +6,7 @@
 #include "zinnia/upstream/announcement.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -63,8 +64,13 @@
 
     /** @return The upstream, or null if the token is unknown; valid until the next `merge` or `removeExpired`. */
     [[nodiscard]] Upstream* find(RoutingToken token);
-    /** @return True if an upstream that has started later announces the same address, so that this one has ended. */
-    [[nodiscard]] bool isAddressTaken(const Upstream& upstream) const;
+    /**
+     * @return True if an upstream that has started later announces the same address. While the earlier one announces
+     *         itself too, the claim counts for `claimTime` only: then it has outlived the lease of its announcements.
+     * @param isNamed Whether the configuration names a service; others claim nothing.
+     */
+    [[nodiscard]] bool isAddressClaimed(
+        const Upstream& upstream, const std::function<bool(const std::string&)>& isNamed, TimePoint now) const;
     /** @return The upstreams of a service by token; pointers are valid until the next `merge` or `removeExpired`. */
     [[nodiscard]] const std::vector<Upstream*>& findByService(const std::string& service) const;
     [[nodiscard]] const std::unordered_map<RoutingToken, Upstream>& all() const noexcept { return this->upstreams; }
--- a/src/zinnia/routing/upstream_health.hpp
+++ b/src/zinnia/routing/upstream_health.hpp
@@ -28,8 +28,8 @@
 /**
  * @brief Evidence that an upstream is dead, so that its open flows may be ended.
  *
- * Only a failed health check of this router is enough. Callers that retransmit, openings without an answer and the
- * reports of other routers request one. It ends with a successful one, or with an answer to any caller.
+ * What is enough stands in `liveness.hpp`. The evidence ends with a successful health check, or with an answer to any
+ * caller.
  */
 struct FailureEvidence {
     /** Flows whose caller retransmits, without an answer to any flow since the first transmission. */
--- a/src/zinnia/runtime/fleet_process_feed.cpp
+++ b/src/zinnia/runtime/fleet_process_feed.cpp
@@ -33,11 +33,16 @@
             Field { "age_ms", age }, Field { "heard_from", receivedFrom });
     }
 
+    Milliseconds unixTime()
+    {
+        return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    }
+
 } // namespace
 
 void FleetProcess::announce(const upstream::Announcement& announcement, CallDone done)
 {
-    if (const auto fault = upstream::findFault(announcement)) {
+    if (const auto fault = upstream::findArrivalFault(announcement, unixTime())) {
         runtime::log(
             Event::AnnouncementRefused, Field { "upstream", announcement.number }, Field { "problem", *fault });
         return done({ CallStatus::Invalid, {}, std::string { nameOf(*fault) } });
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -121,6 +121,8 @@
         EXPECT_FALSE(readWith("\"born\":1782788870000", "\"born\":1.5"));
         EXPECT_FALSE(readWith("10.128.0.9:8080", "10.128.0.9"));
         EXPECT_FALSE(readWith("\"slots\":2", "\"slots\":-2"));
+        EXPECT_FALSE(readWith("\"version\":\"v1\",", ""));
+        EXPECT_FALSE(readWith("\"version\":\"v1\"", "\"version\":7"));
         EXPECT_FALSE(readAnnouncement("i-7f3a91c2", "{\"service\":"));
         EXPECT_FALSE(readAnnouncement("-", sampleAnnouncement));
     }
--- a/test/zinnia/runtime/fleet_process_test.cpp
+++ b/test/zinnia/runtime/fleet_process_test.cpp
@@ -182,6 +182,9 @@
             upstream::Announcement announcement;
             announcement.number = upstream::UpstreamNumber { number };
             announcement.service = service;
+            announcement.address = { 0x0A000000U + static_cast<std::uint32_t>(number), 8080 };
+            announcement.zone = "a";
+            announcement.slots = 2;
             announcement.version = { 5, 1 };
             std::optional<CallStatus> status;
             this->process->announce(announcement, [&](const CallResult& result) { status = result.status; });
@@ -291,6 +294,7 @@
         upstream::Announcement announcement;
         announcement.number = upstream::UpstreamNumber { 7 };
         announcement.service = "logger";
+        announcement.address = { 0x0A000007, 8080 };
         announcement.zone = "a";
         announcement.slots = 2;
         announcement.version = { 5, 1 };
--- a/test/zinnia/upstream/announcement_table_test.cpp
+++ b/test/zinnia/upstream/announcement_table_test.cpp
@@ -228,6 +228,36 @@
         EXPECT_EQ(findFault(odd), AnnouncementFault::StartOutOfRange);
     }
 
+    // Guards against announcements that name no upstream to use, and against a start in the future, which outranks all
+    // later starts of the same upstream.
+    TEST(AnnouncementLimits, ChecksEveryFieldOnArrival)
+    {
+        constexpr Milliseconds now { 1'700'000'000'000 };
+        Announcement sample;
+        sample.service = "logger";
+        sample.zone = "a";
+        sample.slots = 2;
+        sample.address = { 0x0A000001, 8080 };
+        sample.version.startedAt = 1'700'000'000'000;
+        EXPECT_FALSE(findArrivalFault(sample, now));
+        const auto faultWith = [&](auto&& change) {
+            Announcement odd = sample;
+            change(odd);
+            return findArrivalFault(odd, now);
+        };
+        EXPECT_EQ(faultWith([](Announcement& odd) { odd.service.clear(); }), AnnouncementFault::NoService);
+        EXPECT_EQ(faultWith([](Announcement& odd) { odd.zone.clear(); }), AnnouncementFault::NoZone);
+        EXPECT_EQ(faultWith([](Announcement& odd) { odd.slots = 0; }), AnnouncementFault::NoSlots);
+        EXPECT_EQ(faultWith([](Announcement& odd) { odd.slots = 70000; }), AnnouncementFault::TooManySlots);
+        for (const Endpoint address : { Endpoint { 0x0A000001, 0 }, Endpoint { 0, 8080 }, Endpoint { 0xE0000001, 8080 },
+                 Endpoint { 0xFFFFFFFF, 8080 } })
+            EXPECT_EQ(
+                faultWith([&](Announcement& odd) { odd.address = address; }), AnnouncementFault::AddressNotUsable);
+        EXPECT_EQ(
+            faultWith([](Announcement& odd) { odd.version.startedAt += 3'600'000; }), AnnouncementFault::StartInFuture);
+        EXPECT_FALSE(faultWith([](Announcement& odd) { odd.version.startedAt += 60'000; }));
+    }
+
     // Guards against a table that grows with every name that another writer invents.
     TEST(AnnouncementTable, KeepsLivingUpstreamsWhenItIsFull)
     {
