routing: repeat an unanswered opening before its copy moves to another upstream

Cause: after one lost packet of a handshake the copy of the opening went to a second upstream; both answered, and only the router that had placed the opening could tell where the flow was open. Change: an opening without an answer is sent once more to its upstream after the handshake timeout. A copy moves if that one ignores it, looks dead or full; otherwise it stays (opening_copies.hpp).

--- a/src/zinnia/routing/flow_router.cpp
+++ b/src/zinnia/routing/flow_router.cpp
@@ -98,7 +98,9 @@
     }
     if (previous == nullptr && !this->uploads.admits(packet.service, this->waitingUploads))
         return { PacketAction::Reset, RoutingReason::LinkFull, nullptr };
-    Upstream* chosen = this->chooseAdmitted(this->current.routes[found->second], share, previous, now);
+    Upstream* chosen = previous != nullptr ? this->upstreamOfCopy(*previous, packet, now) : nullptr;
+    if (chosen == nullptr)
+        chosen = this->chooseAdmitted(this->current.routes[found->second], share, previous, now);
     if (chosen == nullptr && !this->synchronized)
         return { PacketAction::Hold, RoutingReason::NoState, nullptr };
     if (chosen == nullptr) {
@@ -110,8 +112,11 @@
     }
     const bool moved = previous != nullptr && previous->token != chosen->token;
     Flow flow;
+    flow.openedAt = now;
     if (previous != nullptr) {
-        flow.otherTokens = { previous->token, previous->otherTokens[0] };
+        flow.otherTokens = moved ? std::array { previous->token, previous->otherTokens[0] } : previous->otherTokens;
+        flow.openingCopies = previous->openingCopies + 1;
+        flow.openedAt = previous->openedAt;
         this->endFlow(*previous);
     }
     flow.token = chosen->token;
@@ -123,6 +128,8 @@
         this->startRequest(flow, *chosen, now);
         this->flows.insert_or_assign(id, flow);
         ++chosen->flows;
+        if (previous == nullptr || moved)
+            ++chosen->openingsSinceHandshake;
         this->recordOpening(*chosen, packet.caller, now);
     }
     return { PacketAction::Forward, moved ? RoutingReason::CopyMoved : RoutingReason::None, chosen };
@@ -234,6 +241,7 @@
         flow.established = true;
         flow.acknowledged = packet.acknowledged;
         decision.handshakeTime = now - flow.firstSeenAt;
+        upstream.openingsSinceHandshake = 0;
         this->recordHandshakeTime(*decision.handshakeTime, upstream.announcement.zone, now);
         this->recordAnswer(flow, packet.service, upstream, now);
     } else if (isAfter(packet.acknowledged, flow.acknowledged)) {
--- a/src/zinnia/routing/flow_router.hpp
+++ b/src/zinnia/routing/flow_router.hpp
@@ -7,6 +7,7 @@
 #include "zinnia/routing/liveness.hpp"
 #include "zinnia/routing/load_sharing_settings.hpp"
 #include "zinnia/routing/load_view.hpp"
+#include "zinnia/routing/opening_copies.hpp"
 #include "zinnia/routing/routing_decision.hpp"
 #include "zinnia/routing/spill_policy.hpp"
 #include "zinnia/routing/upload_admission.hpp"
@@ -165,6 +166,8 @@
      * instead of ending with an unknown outcome.
      */
     [[nodiscard]] std::vector<FlowReset> takeResets() { return std::exchange(this->resets, {}); }
+    /** @brief Removes and returns the openings to send once more, see `opening_copies.hpp`. */
+    [[nodiscard]] std::vector<RepeatedOpening> takeRepeatedOpenings() { return std::exchange(this->repeated, {}); }
     /** @brief Removes and returns the health checks requested since the last call on signs of a failed upstream. */
     [[nodiscard]] std::vector<HealthCheck> takeHealthChecks() { return std::exchange(this->healthChecks, {}); }
     /**
@@ -224,6 +227,12 @@
         std::size_t requestBytes {};
         /** Retransmissions of the packet with `sequence`. */
         std::uint32_t retransmissions {};
+        /** Transmissions of the opening after the first one. */
+        std::uint32_t openingCopies {};
+        /** Time at which its first transmission arrived. */
+        TimePoint openedAt;
+        /** When the opening was sent once more by this router. */
+        std::optional<TimePoint> repeatedAt;
         bool established {};
         /** A request of its caller is unanswered. */
         bool awaitingAnswer {};
@@ -248,6 +257,10 @@
 
     /** @brief Routes an opening, lets it wait or refuses it. */
     [[nodiscard]] RoutingDecision admitOpening(const FlowPacket& packet, TimePoint now);
+    /** @brief Sends openings once more whose answer is overdue. @param timeout Time until an answer is overdue. */
+    void repeatOpenings(Microseconds timeout, TimePoint now);
+    /** @return The upstream that got the first transmission of an opening, if a copy stays there; otherwise null. */
+    [[nodiscard]] Upstream* upstreamOfCopy(const Flow& opening, const FlowPacket& packet, TimePoint now);
     /** @brief Selects an upstream of the service for which the opening was admitted, or of another one if it has none.
      */
     [[nodiscard]] Upstream* chooseAdmitted(
@@ -361,6 +374,7 @@
     bool synchronized {};
     std::vector<FlowReset> resets;
     std::vector<HealthCheck> healthChecks;
+    std::vector<RepeatedOpening> repeated;
     std::vector<upstream::UpstreamNumber> unreachable;
     std::vector<UpstreamHealthChange> healthChanges;
     /** Running mean of the time from an opening to the end of the handshake. */
--- a/src/zinnia/routing/flow_router_checks.cpp
+++ b/src/zinnia/routing/flow_router_checks.cpp
@@ -20,7 +20,10 @@
             this->requestHealthCheck(*upstream, this->settings.minHealthCheckInterval, now);
     }
     this->expireRequests(now);
-    const Microseconds openingTimeout = this->handshakeTimeout();
+    // What to do with a copy has to be known 200 ms after the opening, also before the first handshake.
+    const Microseconds openingTimeout
+        = this->meanHandshakeTime == Microseconds { 0 } ? this->settings.minAnswerTimeout : this->handshakeTimeout();
+    this->repeatOpenings(openingTimeout, now);
     for (auto& [token, upstream] : this->upstreams.all()) {
         const OpeningEvidence& openings = upstream.openings;
         // Further checks of an upstream that takes no flows are requested only when an opening arrives.
@@ -30,6 +33,22 @@
     }
 }
 
+void FlowRouter::repeatOpenings(Microseconds timeout, TimePoint now)
+{
+    for (auto& [id, flow] : this->flows) {
+        const bool isOverdue = !flow.established && flow.token != RoutingToken {} && flow.openingCopies == 0
+            && !flow.repeatedAt && now - flow.openedAt > timeout;
+        // A copy of the caller is about to arrive, or has been lost.
+        if (!isOverdue || now - flow.openedAt > this->settings.maxHandshakeTimeout)
+            continue;
+        const Upstream* upstream = this->upstreams.find(flow.token);
+        if (upstream == nullptr || upstream->failure.isDead() || upstream->openings.isRejecting)
+            continue;
+        flow.repeatedAt = now;
+        this->repeated.push_back({ id.caller, id.service, upstream });
+    }
+}
+
 void FlowRouter::requestHealthCheck(Upstream& upstream, Milliseconds interval, TimePoint now)
 {
     // No check is needed: the control instances receive nothing from a silent upstream either, and it is announced
@@ -67,6 +86,8 @@
     LivenessEvidence evidence = this->evidenceOf(*upstream, now);
     evidence.connected = connected;
     const Liveness liveness = assess(evidence);
+    if (connected)
+        upstream->failure.reachedAt = now;
     if (liveness == Liveness::Dead) {
         ++upstream->failure.failedChecks;
         this->unreachable.push_back(upstream->announcement.number);
--- a/src/zinnia/routing/flow_router_choice.cpp
+++ b/src/zinnia/routing/flow_router_choice.cpp
@@ -84,6 +84,24 @@
         { upstream.announcement.number, SuspicionCause::UnansweredOpenings, 0, this->sinceLastAnswer(upstream, now) });
 }
 
+Upstream* FlowRouter::upstreamOfCopy(const Flow& opening, const FlowPacket& packet, TimePoint now)
+{
+    Upstream* first = this->upstreams.find(opening.token);
+    if (first == nullptr)
+        return nullptr;
+    FirstUpstream evidence;
+    evidence.isUsable = this->isUsable(*first, now) && this->shareOf(packet.service, first->announcement.service);
+    evidence.isDead = first->failure.isDead();
+    evidence.isRejecting = first->openings.isRejecting;
+    evidence.openedAt = opening.openedAt;
+    evidence.reachedAt = first->failure.reachedAt;
+    evidence.answeredAt = first->lastAnswerAt;
+    evidence.openingsSinceHandshake = first->openingsSinceHandshake;
+    evidence.copies = opening.openingCopies;
+    evidence.hasIgnoredRepeat = opening.repeatedAt && now - *opening.repeatedAt > this->handshakeTimeout();
+    return copyStays(evidence) ? first : nullptr;
+}
+
 Upstream* FlowRouter::chooseUpstream(const feed::CompactRoute& route, const Flow* previous, TimePoint now)
 {
     std::uint64_t total = 0;
--- a/src/zinnia/routing/routing_decision.hpp
+++ b/src/zinnia/routing/routing_decision.hpp
@@ -120,6 +120,14 @@
     Microseconds waited {};
 };
 
+/** @brief An opening that is sent once more to the upstream that has not answered it. */
+struct RepeatedOpening {
+    Endpoint caller;
+    Endpoint service;
+    /** Valid until the next call of the router. */
+    const Upstream* upstream {};
+};
+
 /** @brief Why an upstream is suspected: it takes no new flows (`UnansweredOpenings`), or it is dead. */
 enum class SuspicionCause : std::uint8_t { None, UnansweredOpenings, Unreachable };
 
--- a/src/zinnia/routing/upstream_directory.hpp
+++ b/src/zinnia/routing/upstream_directory.hpp
@@ -38,6 +38,8 @@
     Microseconds answerTime {};
     /** Time at which a caller last acknowledged data of the upstream. */
     TimePoint lastAnswerAt;
+    /** Openings since a caller last completed a handshake there, copies not counted. */
+    std::uint32_t openingsSinceHandshake {};
     /** Evidence that it takes no new flows. */
     OpeningEvidence openings;
     /** Evidence that it is dead. */
--- a/src/zinnia/routing/upstream_health.hpp
+++ b/src/zinnia/routing/upstream_health.hpp
@@ -38,6 +38,8 @@
     std::optional<TimePoint> lastCheckAt;
     /** Consecutive health checks without a connection. */
     std::uint32_t failedChecks {};
+    /** Time of the last successful health check. */
+    std::optional<TimePoint> reachedAt;
     /** Time of the last failed health check; empty while it is reachable. */
     std::optional<TimePoint> unreachableAt;
     /** Time of the latest reported failure of another router to reach it. */
--- a/src/zinnia/runtime/router_process.cpp
+++ b/src/zinnia/runtime/router_process.cpp
@@ -120,6 +120,7 @@
     this->handshakes = &this->metrics.latency({ "zinnia_router_handshake_seconds" });
     this->answers = &this->metrics.latency({ "zinnia_router_answer_seconds" });
     this->openings = &this->metrics.counter({ "zinnia_router_openings_total" });
+    this->repeatedOpenings = &this->metrics.counter({ "zinnia_router_repeated_openings_total" });
     for (const auto& row : checkResultNames)
         this->checkResults[static_cast<std::size_t>(row.value)]
             = &this->metrics.counter({ "zinnia_router_address_checks_total", "result", std::string { row.name } });
@@ -276,6 +277,8 @@
     BytesView bytes, const routing::FlowPacket& packet, const routing::RoutingDecision& decision)
 {
     if (decision.action == routing::PacketAction::Forward) {
+        if (packet.syn)
+            this->keepSent(bytes, packet, this->loop->now());
         const auto& upstream = *decision.upstream;
         const auto head = this->format->forwardHead(bytes, upstream.announcement.number, upstream.token);
         const BytesView rest = bytes.subspan(head.replaced);
@@ -409,6 +412,7 @@
     // After a process pause, answers in the socket buffer are still unread; `pollControls` may detect the pause later.
     if (this->lastOverdueCheck != TimePoint {} && now - this->lastOverdueCheck < 2 * overdueCheckInterval) {
         this->router.checkOverdueAnswers(now);
+        this->repeatOpenings(now);
         this->startHealthChecks();
     }
     this->handleReleased();
--- a/src/zinnia/runtime/router_process.hpp
+++ b/src/zinnia/runtime/router_process.hpp
@@ -102,6 +102,10 @@
     void perform(BytesView bytes, const routing::FlowPacket& packet, const routing::RoutingDecision& decision);
     void pollControls();
     void checkOverdueAnswers();
+    /** @brief Keeps an opening that was sent to an upstream until its answer is overdue. */
+    void keepSent(BytesView bytes, const routing::FlowPacket& packet, TimePoint now);
+    /** @brief Sends openings once more whose upstream has not answered. */
+    void repeatOpenings(TimePoint now);
     void expireAndPublishGauges();
     /** @brief Publishes the counts of openings sent to other zones and of choices of avoided upstreams. */
     void publishPlacement();
@@ -121,6 +125,8 @@
     load::LoadClient load;
     std::unique_ptr<UdpSocket> packets;
     std::vector<HeldPacket> heldQueue;
+    /** Openings that were sent to an upstream a short time ago, by flow; its answer may be overdue. */
+    std::unordered_map<routing::FlowId, HeldPacket, routing::FlowIdHash> sentOpenings;
     /** The openings that wait, by flow, with the time at which each last arrived; a retransmission replaces them. */
     std::unordered_map<routing::FlowId, HeldPacket, routing::FlowIdHash> waitingOpenings;
     /** Control instance whose replies are used. */
@@ -151,6 +157,7 @@
     Counter* loadReports {};
     Counter* malformed {};
     Counter* openings {};
+    Counter* repeatedOpenings {};
     LatencyHistogram* handshakes {};
     LatencyHistogram* answers {};
     /** Flows reset together with the flow that revealed that their upstream is dead. */
--- a/src/zinnia/runtime/router_process_load.cpp
+++ b/src/zinnia/runtime/router_process_load.cpp
@@ -14,6 +14,9 @@
     constexpr Milliseconds flowReportInterval { 250 };
     /** Openings whose bytes are kept at most: about 1 MB without data, 6 MB if each fills a datagram of 1,500 B. */
     constexpr std::size_t maxWaitingOpenings = 4096;
+    /** Openings whose bytes are kept until their answer is overdue, and for how long: callers send copies then. */
+    constexpr std::size_t maxSentOpenings = 4096;
+    constexpr Milliseconds maxSentOpeningAge { 200 };
     /**
      * Time after its last arrival at which the bytes of an opening are removed if it was never released. Openings wait
      * 1.2 s at most, and callers give up after 1.4 s.
@@ -80,6 +83,27 @@
     std::erase_if(this->waitingOpenings, [now](const auto& item) { return now - item.second.since > maxOpeningWait; });
 }
 
+void RouterProcess::keepSent(BytesView bytes, const routing::FlowPacket& packet, TimePoint now)
+{
+    const routing::FlowId flow { packet.caller, packet.service };
+    // Only the first transmission is repeated; one that is not kept is repeated by its caller.
+    if (this->sentOpenings.size() < maxSentOpenings)
+        this->sentOpenings.try_emplace(flow, HeldPacket { Bytes { bytes.begin(), bytes.end() }, packet, now });
+}
+
+void RouterProcess::repeatOpenings(TimePoint now)
+{
+    for (const routing::RepeatedOpening& opening : this->router.takeRepeatedOpenings()) {
+        const auto sent = this->sentOpenings.find({ opening.caller, opening.service });
+        if (sent == this->sentOpenings.end())
+            continue;
+        this->repeatedOpenings->add();
+        this->perform(sent->second.bytes, sent->second.packet,
+            { routing::PacketAction::Forward, routing::RoutingReason::None, opening.upstream });
+    }
+    std::erase_if(this->sentOpenings, [now](const auto& item) { return now - item.second.since > maxSentOpeningAge; });
+}
+
 void RouterProcess::handleReleased()
 {
     // Released openings do not wait for the outgoing link: they are short, and `perform` counts them against its rate.
--- a/test/zinnia/routing/upstream_health_test.cpp
+++ b/test/zinnia/routing/upstream_health_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 #include <map>
+#include <random>
 #include <set>
 
 namespace zinnia::routing::test {
@@ -41,13 +42,19 @@
         std::size_t resets {};
         std::size_t refusedOpenings {};
         std::size_t unansweredOpenings {};
+        /** Times from the first transmission of an opening to its answer. */
+        std::vector<Microseconds> openingWaits;
+        /** Share of the answers to openings that are lost. Unit: 1/1000. */
+        unsigned lostAnswersPerMille {};
+        /** Upstreams that have answered an opening, by caller. */
+        std::map<Endpoint, std::set<RoutingToken>> answeredBy;
 
         /** @brief A caller of its own address opens a flow; if it is answered, its requests begin. */
         void open(std::uint16_t port)
         {
             FlowPacket opening = Fixture::openingOf(port);
             opening.caller.address += port;
-            this->sendOpening(opening, 0);
+            this->sendOpening(opening, 0, this->fixture.now);
         }
 
         void runFor(Milliseconds duration)
@@ -59,6 +66,8 @@
                     this->queue.extract(this->queue.begin()).mapped()();
                 if (this->fixture.now.time_since_epoch() % Milliseconds { 50 } == Microseconds { 0 })
                     this->fixture.router.checkOverdueAnswers(this->fixture.now);
+                for (const RepeatedOpening& repeated : this->fixture.router.takeRepeatedOpenings())
+                    this->repeatOpening(repeated);
                 this->runHealthChecks();
                 for (const FlowReset& reset : this->fixture.router.takeResets()) {
                     this->resetAt.try_emplace(tokenOf(reset.upstream), this->fixture.now);
@@ -99,7 +108,7 @@
                 || found->second == Behaviour::IsFull;
         }
 
-        void sendOpening(const FlowPacket& opening, int copy)
+        void sendOpening(const FlowPacket& opening, int copy, TimePoint startedAt)
         {
             static constexpr std::array<Milliseconds, 2> copyIntervals { Milliseconds { 200 }, Milliseconds { 400 } };
             if (this->flows.contains(opening.caller))
@@ -117,10 +126,37 @@
                 ++this->unansweredOpenings;
                 if (copy < 2)
                     this->after(copyIntervals[static_cast<std::size_t>(copy)],
-                        [this, opening, copy] { this->sendOpening(opening, copy + 1); });
+                        [this, opening, copy, startedAt] { this->sendOpening(opening, copy + 1, startedAt); });
                 return;
             }
-            this->after(2 * wayTime, [this, opening, token] {
+            this->answeredBy[opening.caller].insert(token);
+            this->sentOpenings[opening.caller] = { opening, startedAt };
+            if (this->random() % 1000 < this->lostAnswersPerMille) {
+                // The upstream repeats its answer when the caller sends a copy, which it gets or another one.
+                if (copy < 2)
+                    this->after(copyIntervals[static_cast<std::size_t>(copy)],
+                        [this, opening, copy, startedAt] { this->sendOpening(opening, copy + 1, startedAt); });
+                return;
+            }
+            this->answerOpening(opening, token, startedAt);
+        }
+
+        /** @brief An upstream that takes flows answers each transmission of an opening. */
+        void repeatOpening(const RepeatedOpening& repeated)
+        {
+            const auto sent = this->sentOpenings.find(repeated.caller);
+            const auto found = this->behaviours.find(repeated.upstream->token);
+            const bool serves = found == this->behaviours.end() || found->second == Behaviour::Serves;
+            if (sent != this->sentOpenings.end() && serves && this->random() % 1000 >= this->lostAnswersPerMille)
+                this->answerOpening(sent->second.first, repeated.upstream->token, sent->second.second);
+        }
+
+        void answerOpening(const FlowPacket& opening, RoutingToken token, TimePoint startedAt)
+        {
+            this->after(2 * wayTime, [this, opening, token, startedAt] {
+                if (this->flows.contains(opening.caller))
+                    return;
+                this->openingWaits.push_back(this->fixture.now - startedAt);
                 this->flows[opening.caller] = OpenFlow { token, opening.sequence + 1 };
                 this->send(opening.caller, 0);
                 this->after(Milliseconds { 1 + opening.caller.port % 100 },
@@ -191,7 +227,10 @@
         Fixture& fixture;
         std::multimap<TimePoint, std::function<void()>> queue;
         std::map<Endpoint, OpenFlow> flows;
+        /** Openings that an upstream has taken, and when their callers sent them first. */
+        std::map<Endpoint, std::pair<FlowPacket, TimePoint>> sentOpenings;
         bool sendsRequests = true;
+        std::mt19937 random { 7 };
     };
 
     const RoutingToken first = tokenOf(upstream::UpstreamNumber { 1 });
@@ -525,6 +564,75 @@
         EXPECT_EQ(fixture.send(Fixture::openingOf(7)).reason, RoutingReason::FlowsFull);
     }
 
+    // Guards against a flow of which two upstreams have answered the opening because one packet was lost: after its
+    // router has left, the next one follows the token of the wrong upstream (review/14).
+    TEST(UpstreamHealth, OneUpstreamAnswersAnOpeningOfWhichAPacketWasLost)
+    {
+        std::size_t twice = 0;
+        std::size_t opened = 0;
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Fixture fixture { twoUpstreams(), seed };
+            Network network { fixture };
+            network.lostAnswersPerMille = 30;
+            for (std::uint16_t port = 1; port <= 400; ++port) {
+                network.open(port);
+                network.runFor(Milliseconds { 25 });
+            }
+            network.runFor(Milliseconds { 2000 });
+            opened += network.answeredBy.size();
+            for (const auto& [caller, tokens] : network.answeredBy)
+                twice += tokens.size() > 1 ? 1 : 0;
+        }
+        std::cout << twice << " of " << opened << " openings were answered by two upstreams\n";
+        EXPECT_LE(twice * 1000, opened);
+        EXPECT_GE(opened, 3900U);
+    }
+
+    /** @return The waits of openings, sorted, while one of two upstreams behaves in a way. */
+    std::vector<Microseconds> openingWaitsBeside(Network::Behaviour behaviour, std::uint64_t seed)
+    {
+        Fixture fixture { twoUpstreams(), seed };
+        Network network { fixture };
+        for (std::uint16_t port = 1; port <= 20; ++port)
+            network.open(port);
+        network.runFor(Milliseconds { 1000 } + Milliseconds { static_cast<std::int64_t>(seed * 37 % 400) });
+        network.behaviours[first] = behaviour;
+        network.openingWaits.clear();
+        for (std::uint16_t port = 21; port <= 320; ++port) {
+            network.open(port);
+            network.runFor(Milliseconds { 30 });
+        }
+        network.runFor(Milliseconds { 2000 });
+        std::vector<Microseconds> waits = network.openingWaits;
+        std::sort(waits.begin(), waits.end());
+        return waits;
+    }
+
+    // Guards against copies that stay at an upstream that answers no opening, so that new flows wait longer for it than
+    // for one copy.
+    TEST(UpstreamHealth, NewFlowsDoNotWaitForAnUpstreamThatAnswersNone)
+    {
+        for (const auto& [behaviour, name] : { std::pair { Network::Behaviour::IsFull, "full" },
+                 std::pair { Network::Behaviour::IsGone, "machine gone" } }) {
+            Microseconds total { 0 };
+            Microseconds longest { 0 };
+            std::size_t count = 0;
+            std::size_t overOneCopy = 0;
+            for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+                for (const Microseconds wait : openingWaitsBeside(behaviour, seed)) {
+                    total += wait;
+                    longest = std::max(longest, wait);
+                    overOneCopy += wait > Milliseconds { 300 } ? 1 : 0;
+                    ++count;
+                }
+            }
+            std::cout << "beside an upstream that is " << name << ": mean wait "
+                      << total.count() / static_cast<std::int64_t>(count) << " us, longest " << longest.count() / 1000
+                      << " ms, " << overOneCopy << " of " << count << " over one copy\n";
+            EXPECT_EQ(overOneCopy, 0U) << name;
+        }
+    }
+
     /** @return Time from the loss of an upstream to the reset of its flows. */
     Microseconds detectionTime(Network::Behaviour loss, std::uint16_t flows, std::uint64_t seed)
     {
