consensus, runtime: pauses between handovers; a full connection is read on

Cause: a leader whose voters ignore TransferLeadership, as those of the previous release do, asked again every 0.5 s and accepted no change meanwhile. A connection with more pipelined requests than are stored was not watched for the body of the next one. Change: the pause between two attempts doubles, up to 8 s; the interest of a connection is updated after its requests were handled. Evidence: ALeaderThatCannotHandOverStillCommits expects 150 of 200 changes in 20 s; ReadsOnAfterManyPipelinedRequests has a request of 50 kB behind another.

--- a/src/zinnia/consensus/election.cpp
+++ b/src/zinnia/consensus/election.cpp
@@ -4,6 +4,13 @@
 
 namespace zinnia::consensus {
 
+namespace {
+
+    /** The pause between two attempts of a leader to hand over doubles this often. */
+    constexpr unsigned maxHandoverDoublings = 4;
+
+} // namespace
+
 bool Replica::isEligibleVoter() const
 {
     if (!this->settings.safetyChecks.joinAsLearner)
@@ -89,6 +96,8 @@
     this->role = Role::Leader;
     this->hasSeenLeader = true;
     this->designated.reset();
+    this->handoverAttempts = 0;
+    this->nextHandover = this->now;
     this->leader = this->hardState.self;
     this->report(zinnia::Event::LeaderElected, this->hardState.self);
     this->progress.clear();
@@ -251,8 +260,7 @@
 
 void Replica::transferLeadership()
 {
-    const bool isPending = this->designated && this->now < this->designated->second;
-    if (isPending || !this->pendingProposals.empty() || this->commitIndex != this->log.lastIndex())
+    if (this->now < this->nextHandover || !this->pendingProposals.empty() || this->commitIndex != this->log.lastIndex())
         return;
     const Membership& voters = this->log.latestMembership().membership;
     std::optional<ReplicaId> successor;
@@ -268,6 +276,9 @@
         return;
     this->report(zinnia::Event::LeadershipTransferred, *successor);
     this->designated = { *successor, this->now + this->settings.minElectionTimeout };
+    // A voter of the previous release ignores the request; the group must remain able to commit between two attempts.
+    this->handoverAttempts = std::min(this->handoverAttempts + 1, maxHandoverDoublings);
+    this->nextHandover = this->now + this->settings.minElectionTimeout * (1U << this->handoverAttempts);
     for (const ReplicaId& peer : this->peers())
         this->send(TransferLeadership { this->headerTo(peer), *successor });
 }
--- a/src/zinnia/consensus/replica.hpp
+++ b/src/zinnia/consensus/replica.hpp
@@ -300,6 +300,9 @@
     ZoneTable zones;
     /** The voter that the leader has asked to lead, and until when the others vote for it and the leader waits. */
     std::optional<std::pair<ReplicaId, TimePoint>> designated;
+    /** Attempts of this leader to hand over, and when the next one may follow. */
+    unsigned handoverAttempts {};
+    TimePoint nextHandover;
     /** When this leader was elected, or has last proposed a membership. */
     TimePoint membershipProposedAt;
     LogIndex snapshotRequestedIndex {};
--- a/src/zinnia/runtime/http_listener.cpp
+++ b/src/zinnia/runtime/http_listener.cpp
@@ -20,7 +20,6 @@
 
     constexpr int backlog = 256;
     constexpr Milliseconds sweepInterval { 1000 };
-    constexpr std::string_view headerEnd = "\r\n\r\n";
 
     std::string textOf(const HttpResponse& response, bool keepAlive)
     {
@@ -217,6 +216,8 @@
         Connection& connection = *remaining->second;
         connection.processing = false;
         connection.input.erase(0, std::exchange(connection.handledBytes, 0));
+        // A head that was parsed now may want a body, although the connection was full before.
+        this->updateInterest(number, connection);
     }
 }
 
--- a/test/zinnia/consensus/cluster.cpp
+++ b/test/zinnia/consensus/cluster.cpp
@@ -262,6 +262,8 @@
 
 void Cluster::deliver(const Send& send)
 {
+    if (this->ignoresTransfers && std::holds_alternative<TransferLeadership>(send.message))
+        return;
     const Header header = headerOf(send.message);
     const std::uint32_t to = header.to.instance.value;
     const std::pair link { header.from.instance.value, to };
--- a/test/zinnia/consensus/cluster.hpp
+++ b/test/zinnia/consensus/cluster.hpp
@@ -85,6 +85,8 @@
     unsigned dropPerMille {};
     unsigned duplicatePerMille {};
     Milliseconds maxDelay { 5 };
+    /** Whether replicas drop requests to take over, as those of the previous release do. */
+    bool ignoresTransfers {};
     /** Additional delay of messages to and from an instance. */
     std::map<std::uint32_t, Milliseconds> delays;
     /** Size to which commands and snapshots are padded. Unit: bytes. */
--- a/test/zinnia/consensus/loss_tolerance_test.cpp
+++ b/test/zinnia/consensus/loss_tolerance_test.cpp
@@ -371,6 +371,26 @@
         }
     }
 
+    // Guards against a leader that accepts no change because the voters ignore its request to take over, as those of
+    // the previous release do.
+    TEST(LossTolerance, ALeaderThatCannotHandOverStillCommits)
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Cluster cluster = startZonedGroup(1, seed);
+            cluster.ignoresTransfers = true;
+            cluster.start(4);
+            const std::uint32_t leader = cluster.leader();
+            const std::size_t before = cluster.acknowledged();
+            for (int i = 0; i < 200; ++i) {
+                (void)cluster.propose(leader);
+                cluster.runFor(Milliseconds { 100 });
+            }
+            EXPECT_EQ(cluster.leader(), leader) << seed;
+            EXPECT_GE(cluster.acknowledged() - before, 150U) << seed;
+            EXPECT_GE(cluster.reports.count(zinnia::Event::LeadershipTransferred), 1U) << seed;
+        }
+    }
+
     // Guards against an instance that has a successor and takes the seat back, because it lost its disk or because a
     // new leader does not know the order in which instances have joined.
     TEST(LossTolerance, AnInstanceWithASuccessorDoesNotTakeTheSeatBack)
--- a/test/zinnia/runtime/http_listener_test.cpp
+++ b/test/zinnia/runtime/http_listener_test.cpp
@@ -110,6 +110,22 @@
             close(fd);
     }
 
+    // Guards against a connection that is no longer read after it had sent more requests than are stored.
+    TEST_F(HttpListenerTest, ReadsOnAfterManyPipelinedRequests)
+    {
+        this->start({ .address = {}, .bodyBytes = 60'000 });
+        const int fd = this->connectClient();
+        write(fd,
+            "GET /one HTTP/1.1\r\n\r\nPUT /two HTTP/1.1\r\nContent-Length: 50000\r\n\r\n" + std::string(50'000, 'x'));
+        this->runTurns(20);
+        ASSERT_EQ(this->requests.size(), 1U);
+        this->responders[0](HttpResponse::text(200, "first"));
+        this->runTurns(20);
+        ASSERT_EQ(this->requests.size(), 2U);
+        EXPECT_EQ(this->requests[1].body.size(), 50'000U);
+        close(fd);
+    }
+
     // Guards against heads that are within their size and cost more than it: paths, which are stored and logged, and
     // fields.
     TEST_F(HttpListenerTest, RefusesLongPathsAndManyFields)
