runtime: what has been unfinished for longest makes room in a budget

Cause: the budget of the streams had no limit of time. A party that holds unfinished bodies of 32 MiB had every later message of the group refused; at the address for calls for 15 s a connection. Change: the connection that has had no answered body for longest, for 2 s at least, is closed for a body that does not fit; the same for calls. Evidence: AnUnfinishedBodyMakesRoomForOthers (the message is reset while nothing makes room) and ABodyThatIsNotCompletedMakesRoomForOthers.

--- a/src/zinnia/core/byte_budget.hpp
+++ b/src/zinnia/core/byte_budget.hpp
@@ -41,6 +41,8 @@
             return true;
         }
 
+        [[nodiscard]] bool isEmpty() const noexcept { return this->bytes == 0; }
+
         void release() noexcept
         {
             if (this->budget != nullptr)
--- a/src/zinnia/core/input_limits.hpp
+++ b/src/zinnia/core/input_limits.hpp
@@ -19,8 +19,8 @@
  * - Fields: heads have a limited number of lines, and a path a limited length.
  * - Inputs at once: connections are limited in number; a new one takes the place of the one that is idle for longest.
  * - Sum: the bodies, and the answers that are still to be sent, of all connections of a listener share one
- * `ByteBudget`. The same holds for the streams between our own processes. Changes that wait for their commit are
- * bounded in sum by `consensus::Settings::maxPendingBytes`.
+ * `ByteBudget`. The same holds for the streams between our own processes. What has been unfinished for longest makes
+ * room. Changes that wait for their commit are bounded in sum by `consensus::Settings::maxPendingBytes`.
  */
 enum class InputKind : unsigned char {
     /** A request without a body, or with a body that means nothing. */
--- a/src/zinnia/runtime/http2_connection.cpp
+++ b/src/zinnia/runtime/http2_connection.cpp
@@ -203,8 +203,10 @@
     Stream& state = connection.streams[stream];
     if (state.refused)
         return 0;
-    const bool fits = state.received.size() + size <= maxStreamBodyBytes
-        && (connection.budget == nullptr || state.share.grow(*connection.budget, size));
+    const auto reserve = [&] { return connection.budget == nullptr || state.share.grow(*connection.budget, size); };
+    bool fits = state.received.size() + size <= maxStreamBodyBytes;
+    if (fits && !reserve())
+        fits = connection.callbacks.makeRoom && connection.callbacks.makeRoom() && reserve();
     if (!fits) {
         state.refused = true;
         state.share.release();
--- a/src/zinnia/runtime/http2_connection.hpp
+++ b/src/zinnia/runtime/http2_connection.hpp
@@ -23,6 +23,8 @@
         std::function<void(std::int32_t stream)> onReset;
         /** The connection can no longer be used. Called from the loop, so that the owner may destroy it. */
         std::function<void()> onClosed;
+        /** The budget has no room for a body. @return True if there may be some now. Empty if nothing can make room. */
+        std::function<bool()> makeRoom {};
     };
 
     enum class Side : unsigned char { Server, Client };
--- a/src/zinnia/runtime/http_listener.cpp
+++ b/src/zinnia/runtime/http_listener.cpp
@@ -41,6 +41,8 @@
     constexpr std::size_t maxDiscardedBytes = 8U << 20U;
     constexpr Milliseconds discardTime { 2000 };
     constexpr std::size_t maxRefused = 64;
+    /** A client that has not completed a body, or read an answer, in this time makes room for others. */
+    constexpr Milliseconds minHoldTime { 2000 };
 
     std::string_view reasonOf(int status)
     {
@@ -267,7 +269,7 @@
     else
         head = parseHttpHead(pending.substr(0, end + httpHeadEnd.size()), this->settings.head);
     if (head.status == http_status::ok)
-        head.status = this->admit(head, connection);
+        head.status = this->admit(head, number, connection);
     if (head.status != http_status::ok) {
         log(Event::HttpRequestRefused, Field { "status", head.status }, Field { "path", head.request.path },
             Field { "body_bytes", head.bodyBytes });
@@ -283,17 +285,35 @@
     return true;
 }
 
-int HttpListener::admit(const HttpHead& head, Connection& connection)
+int HttpListener::admit(const HttpHead& head, std::uint64_t number, Connection& connection)
 {
     const std::size_t limit
         = this->settings.bodyLimit ? this->settings.bodyLimit(head.request) : this->settings.bodyBytes;
     if (head.bodyBytes > limit)
         return http_status::contentTooLarge;
-    if (head.bodyBytes > smallBytes && !connection.body.grow(this->budget, head.bodyBytes))
+    if (head.bodyBytes > smallBytes && !this->reserve(connection.body, head.bodyBytes, number))
         return http_status::serviceUnavailable;
+    connection.lastUse = this->poller->now();
     return http_status::ok;
 }
 
+bool HttpListener::reserve(ByteBudget::Share& share, std::size_t size, std::uint64_t number)
+{
+    if (share.grow(this->budget, size))
+        return true;
+    auto oldest = this->connections.end();
+    for (auto item = this->connections.begin(); item != this->connections.end(); ++item) {
+        const bool holdsBytes = !item->second->body.isEmpty() || !item->second->answer.isEmpty();
+        if (item->first != number && holdsBytes
+            && (oldest == this->connections.end() || item->second->lastUse < oldest->second->lastUse))
+            oldest = item;
+    }
+    if (oldest == this->connections.end() || this->poller->now() - oldest->second->lastUse < minHoldTime)
+        return false;
+    this->close(oldest->first);
+    return share.grow(this->budget, size);
+}
+
 void HttpListener::respond(std::uint64_t number, const HttpResponse& response)
 {
     const auto found = this->connections.find(number);
@@ -303,7 +323,7 @@
     connection.awaitingResponse = false;
     connection.lastUse = this->poller->now();
     // A client that doesn't read must not hold more than its part of the memory.
-    if (response.body.size() > smallBytes && !connection.answer.grow(this->budget, response.body.size())) {
+    if (response.body.size() > smallBytes && !this->reserve(connection.answer, response.body.size(), number)) {
         const int status = http_status::serviceUnavailable;
         connection.output
             += textOf(HttpResponse::text(status, std::string { reasonOf(status) } + "\n"), !connection.closing);
--- a/src/zinnia/runtime/http_listener.hpp
+++ b/src/zinnia/runtime/http_listener.hpp
@@ -79,7 +79,9 @@
     /** @return False if the next head has not arrived completely or is refused. */
     bool readHead(std::uint64_t number, Connection& connection);
     /** @return The status with which a request is refused before its body is received; `ok` if it is not. */
-    [[nodiscard]] int admit(const HttpHead& head, Connection& connection);
+    [[nodiscard]] int admit(const HttpHead& head, std::uint64_t number, Connection& connection);
+    /** @brief Adds to a share of the budget; the connection that has held one for longest may be closed for it. */
+    [[nodiscard]] bool reserve(ByteBudget::Share& share, std::size_t size, std::uint64_t number);
     /** @brief Watches the socket for what the connection can do next. */
     void updateInterest(std::uint64_t number, Connection& connection);
     /** @brief Drops what still arrives on a connection for a short time: a reset could overtake the answer. */
--- a/src/zinnia/runtime/stream_server.cpp
+++ b/src/zinnia/runtime/stream_server.cpp
@@ -4,7 +4,6 @@
 #include "zinnia/runtime/logger.hpp"
 #include "zinnia/runtime/socket_address.hpp"
 
-#include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -19,6 +18,8 @@
     constexpr std::size_t maxConnections = 512;
     /** Bodies that are being received; enough for the largest one, a snapshot, beside others. Unit: bytes. */
     constexpr std::size_t receivedBytes = 2 * maxStreamBodyBytes;
+    /** A peer that sends a large body may need this long between two answers. */
+    constexpr Milliseconds minIdleTime { 2000 };
 
 } // namespace
 
@@ -66,7 +67,7 @@
     if (peer < 0)
         return;
     if (this->connections.size() >= maxConnections)
-        this->closeLongestIdle();
+        (void)this->closeLongestIdle(0, Milliseconds { 0 });
     const int enabled = 1;
     setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
     const std::uint64_t number = this->nextConnection++;
@@ -76,21 +77,30 @@
             log(Event::MessageRefused, Field { "reason", RefusalReason::Malformed }, Field { "bytes", body.size() });
         auto answer = accepted ? this->handler(body) : std::nullopt;
         Connection& connection = this->connections.at(number);
-        connection.lastUse = this->poller->now();
+        if (answer)
+            connection.lastUse = this->poller->now();
         connection.http->answer(stream, std::move(answer));
     };
     callbacks.onReset = [](std::int32_t) {};
+    callbacks.makeRoom = [this, number] { return this->closeLongestIdle(number, minIdleTime); };
     callbacks.onClosed = [this, number] { this->connections.erase(number); };
     this->connections[number] = { std::make_unique<Http2Connection>(*this->poller, peer, Http2Connection::Side::Server,
                                       std::move(callbacks), &this->budget),
         this->poller->now() };
 }
 
-void StreamServer::closeLongestIdle()
+bool StreamServer::closeLongestIdle(std::uint64_t except, Milliseconds minIdle)
 {
-    const auto longestIdle = std::min_element(this->connections.begin(), this->connections.end(),
-        [](const auto& a, const auto& b) { return a.second.lastUse < b.second.lastUse; });
+    auto longestIdle = this->connections.end();
+    for (auto item = this->connections.begin(); item != this->connections.end(); ++item) {
+        if (item->first != except
+            && (longestIdle == this->connections.end() || item->second.lastUse < longestIdle->second.lastUse))
+            longestIdle = item;
+    }
+    if (longestIdle == this->connections.end() || this->poller->now() - longestIdle->second.lastUse < minIdle)
+        return false;
     this->connections.erase(longestIdle);
+    return true;
 }
 
 } // namespace zinnia::runtime
--- a/src/zinnia/runtime/stream_server.hpp
+++ b/src/zinnia/runtime/stream_server.hpp
@@ -36,11 +36,16 @@
     int fd;
     Endpoint bound;
     Handler handler;
-    /** @brief Closes the connection that has had no complete body for longest. */
-    void closeLongestIdle();
+    /**
+     * @brief Closes the connection that has had no answered body for longest, apart from one.
+     * @param minIdle Connections that were used more recently stay.
+     * @return False if there is none.
+     */
+    bool closeLongestIdle(std::uint64_t except, Milliseconds minIdle);
 
     struct Connection {
         std::unique_ptr<Http2Connection> http;
+        /** When it was opened, or a body was last answered; that of a stranger never is. */
         TimePoint lastUse;
     };
 
--- a/test/zinnia/runtime/http_listener_test.cpp
+++ b/test/zinnia/runtime/http_listener_test.cpp
@@ -171,6 +171,25 @@
             close(fd);
     }
 
+    // Guards against clients that keep others out by bodies that they do not complete.
+    TEST_F(HttpListenerTest, ABodyThatIsNotCompletedMakesRoomForOthers)
+    {
+        this->start({ .address = {}, .bodyBytes = 100'000, .bufferedBytes = 100'000 });
+        const std::string head = "PUT /one HTTP/1.1\r\nContent-Length: 90000\r\n\r\n";
+        const int first = this->connectClient();
+        write(first, head + "part");
+        this->runTurns();
+        const TimePoint end = this->loop->now() + Milliseconds { 2100 };
+        while (this->loop->now() < end)
+            this->runTurns(1);
+        const int second = this->connectClient();
+        write(second, head + std::string(90000, 'x'));
+        this->runTurns(20);
+        EXPECT_EQ(this->requests.size(), 1U);
+        close(first);
+        close(second);
+    }
+
     // Guards against answers that clients request and do not read, without any bound.
     TEST_F(HttpListenerTest, UnreadAnswersShareTheBudget)
     {
--- a/test/zinnia/runtime/stream_test.cpp
+++ b/test/zinnia/runtime/stream_test.cpp
@@ -239,6 +239,37 @@
         EXPECT_EQ(budget.usedBytes(), 0U);
     }
 
+    // Guards against a stranger that holds the whole budget with a body that it does not complete, so that the messages
+    // of the group are refused for good.
+    TEST_F(Stream, AnUnfinishedBodyMakesRoomForOthers)
+    {
+        ByteBudget budget { 1U << 20U };
+        ByteBudget::Share unfinished;
+        ASSERT_TRUE(unfinished.grow(budget, 1U << 20U));
+        std::array<int, 2> pair {};
+        ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair.data()), 0);
+        std::size_t received = 0;
+        std::size_t reset = 0;
+        bool canMakeRoom = false;
+        Http2Connection::Callbacks callbacks { [&](std::int32_t, bool, const Bytes& body) { received += body.size(); },
+            [](std::int32_t) {}, [] {} };
+        callbacks.makeRoom = [&] {
+            if (canMakeRoom)
+                unfinished.release();
+            return canMakeRoom;
+        };
+        Http2Connection server { *this->loop, pair[0], Http2Connection::Side::Server, callbacks, &budget };
+        Http2Connection client { *this->loop, pair[1], Http2Connection::Side::Client,
+            { [](std::int32_t, bool, const Bytes&) {}, [&](std::int32_t) { ++reset; }, [] {} } };
+        Bytes first(1000, 7);
+        ASSERT_TRUE(client.post(first));
+        ASSERT_TRUE(this->runUntil([&] { return reset == 1; }));
+        canMakeRoom = true;
+        Bytes second(1000, 7);
+        ASSERT_TRUE(client.post(second));
+        EXPECT_TRUE(this->runUntil([&] { return received == 1000; }));
+    }
+
     // Guards against an answer for a body that the handler refused.
     TEST_F(Stream, ReportsARefusedBody)
     {
